Set down folders, core types and build in the agreed shape

Cause: an empty tree. Ruled out: libraries that call the runtime through callbacks, and effects that carry encoded bytes, since another front end could then not reuse decisions. Change: ids, time, verdict, packets, peer messages, events, effects; the configuration model with its builder; build, format and lint scripts.

--- /dev/null
+++ b/dotterelrouter/config/config.cpp
@@ -0,0 +1,220 @@
+#include "dotterelrouter/config/config.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace dotterelrouter
+{
+namespace
+{
+
+constexpr std::uint32_t max_share_percent = 100;
+
+template <class Container>
+void check_unique(Container const& items, std::string_view field)
+{
+    std::set<std::string_view> seen;
+    for (auto const& item : items)
+    {
+        if (item.name.empty())
+        {
+            throw config_error(std::string(field) + ": empty name");
+        }
+        if (!seen.insert(item.name).second)
+        {
+            throw config_error(std::string(field) + ": '" + item.name +
+                               "' stands twice");
+        }
+    }
+}
+
+std::vector<service> group_servers(std::span<server_declaration const> declared)
+{
+    std::map<std::string_view, service> by_name;
+    for (auto const& item : declared)
+    {
+        auto& owner = by_name[item.service];
+        owner.name = item.service;
+        owner.id = service_id{id_from_name(item.service)};
+        owner.servers.push_back(
+            {.id = server_id{id_from_name(item.name)},
+             .name = item.name,
+             .service = owner.id,
+             .where = item.where,
+             .data_centre = data_centre_id{id_from_name(item.data_centre)},
+             .slots = item.slots,
+             .connections = item.connections,
+             .leaving = item.leaving});
+    }
+    std::vector<service> grouped;
+    for (auto& [name, value] : by_name)
+    {
+        std::ranges::sort(value.servers, {}, &backend_server::id);
+        grouped.push_back(std::move(value));
+    }
+    return grouped;
+}
+
+void check_server(server_declaration const& declared)
+{
+    if (declared.service.empty())
+    {
+        throw config_error("server.service: empty for '" + declared.name + "'");
+    }
+    if (declared.slots == 0)
+    {
+        throw config_error("server.slots: 0 for '" + declared.name +
+                           "', expected 1 to 65535");
+    }
+    if (declared.connections == 0)
+    {
+        throw config_error("server.connections: 0 for '" + declared.name +
+                           "', expected 1 to 4294967295");
+    }
+    if (declared.where == endpoint{})
+    {
+        throw config_error("server.where: missing for '" + declared.name + "'");
+    }
+}
+
+void check_shares(std::span<service_address const> addresses,
+                  std::span<work_kind const> kinds)
+{
+    std::map<service_id, std::set<kind_id>> used;
+    for (auto const& item : addresses)
+    {
+        used[item.service].insert(item.kind);
+    }
+    for (auto const& [service, ids] : used)
+    {
+        std::uint32_t sum = 0;
+        for (auto const id : ids)
+        {
+            sum += kinds[id.value].share_percent;
+        }
+        if (sum > max_share_percent)
+        {
+            throw config_error("kind.share_percent: the kinds of one service "
+                               "add up to " +
+                               std::to_string(sum) + ", expected at most 100");
+        }
+    }
+}
+
+} // namespace
+
+std::uint32_t id_from_name(std::string_view name)
+{
+    return XXH32(name.data(), name.size(), 0);
+}
+
+service_address const* configuration::find_address(endpoint where) const
+{
+    auto const found = address_index_.find(where);
+    return found == address_index_.end() ? nullptr : &addresses_[found->second];
+}
+
+service const* configuration::find_service(service_id id) const
+{
+    auto const found = service_index_.find(id);
+    return found == service_index_.end() ? nullptr : &services_[found->second];
+}
+
+backend_server const* configuration::find_server(server_id id) const
+{
+    auto const found = server_index_.find(id);
+    return found == server_index_.end() ? nullptr : found->second;
+}
+
+configuration_builder& configuration_builder::epoch(epoch_number value)
+{
+    epoch_ = value;
+    return *this;
+}
+
+configuration_builder& configuration_builder::kind(work_kind value)
+{
+    value.id = kind_id{static_cast<std::uint16_t>(kinds_.size())};
+    kinds_.push_back(std::move(value));
+    return *this;
+}
+
+configuration_builder& configuration_builder::server(server_declaration value)
+{
+    servers_.push_back(std::move(value));
+    return *this;
+}
+
+configuration_builder& configuration_builder::address(address_declaration value)
+{
+    addresses_.push_back(std::move(value));
+    return *this;
+}
+
+configuration_builder&
+configuration_builder::leaving_vm(std::uint32_t control_ip)
+{
+    leaving_vms_.push_back(control_ip);
+    return *this;
+}
+
+std::shared_ptr<configuration const> configuration_builder::build() const
+{
+    check_unique(kinds_, "kind.name");
+    check_unique(servers_, "server.name");
+    std::ranges::for_each(servers_, check_server);
+
+    auto made = std::make_shared<configuration>();
+    made->epoch_ = epoch_;
+    made->kinds_ = kinds_;
+    made->leaving_vms_ = leaving_vms_;
+    made->services_ = group_servers(servers_);
+    for (std::size_t i = 0; i < made->services_.size(); ++i)
+    {
+        auto const& item = made->services_[i];
+        if (!made->service_index_.emplace(item.id, i).second)
+        {
+            throw config_error("server.service: '" + item.name +
+                               "' has the id of another name");
+        }
+        for (auto const& server : item.servers)
+        {
+            if (!made->server_index_.emplace(server.id, &server).second)
+            {
+                throw config_error("server.name: '" + server.name +
+                                   "' has the id of another name");
+            }
+        }
+    }
+    for (auto const& item : addresses_)
+    {
+        auto const kind =
+            std::ranges::find(kinds_, item.kind, &work_kind::name);
+        if (kind == kinds_.end())
+        {
+            throw config_error("address.kind: '" + item.kind +
+                               "' is not declared");
+        }
+        auto const service = service_id{id_from_name(item.service)};
+        if (made->find_service(service) == nullptr)
+        {
+            throw config_error("address.service: '" + item.service +
+                               "' has no server");
+        }
+        if (!made->address_index_.emplace(item.where, made->addresses_.size())
+                 .second)
+        {
+            throw config_error("address.where: one endpoint stands twice, "
+                               "for service '" +
+                               item.service + "'");
+        }
+        made->addresses_.push_back({item.where, service, kind->id});
+    }
+    check_shares(made->addresses_, made->kinds_);
+    return made;
+}
+
+} // namespace dotterelrouter
--- /dev/null
+++ b/dotterelrouter/core/internal/ids.hpp
@@ -0,0 +1,167 @@
+// Identifiers and network endpoints. Include "dotterelrouter/core/core.hpp".
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+
+namespace dotterelrouter
+{
+
+/// An integer that identifies one kind of thing and converts to no other.
+template <class Tag, class Representation>
+struct strong_id
+{
+    Representation value{};
+
+    friend constexpr auto operator<=>(strong_id const&,
+                                      strong_id const&) = default;
+};
+
+/// A service, such as the catalogue; stable over configuration epochs.
+using service_id = strong_id<struct service_tag, std::uint32_t>;
+/// A backend server; stable over configuration epochs, never reused for
+/// another server of a different name.
+using server_id = strong_id<struct server_tag, std::uint32_t>;
+/// A kind of work, such as Lookups; the index into configuration::kinds().
+using kind_id = strong_id<struct kind_tag, std::uint16_t>;
+/// A data centre; a hash of its name.
+using data_centre_id = strong_id<struct data_centre_tag, std::uint32_t>;
+/// A slot of the ownership table: flows are hashed onto slots.
+using slot_id = strong_id<struct slot_tag, std::uint16_t>;
+/// Number of a configuration; grows by one with each accepted change.
+using epoch_number = strong_id<struct epoch_tag, std::uint64_t>;
+/// Version of one slot's assignment; grows with each accepted swap.
+using assignment_version = strong_id<struct assignment_tag, std::uint64_t>;
+/// Revision of a key in the platform's key-value service; 0: no such key.
+using store_revision = strong_id<struct revision_tag, std::uint64_t>;
+/// Hash of the content of one chunk of a configuration.
+using chunk_hash = strong_id<struct chunk_tag, std::uint64_t>;
+/// Number a caller gives to one request; unique within its flow.
+using request_number = strong_id<struct request_tag, std::uint64_t>;
+
+/// An IPv4 address and port, both in host byte order.
+struct endpoint
+{
+    std::uint32_t ip = 0;
+    std::uint16_t port = 0;
+
+    friend constexpr auto operator<=>(endpoint, endpoint) = default;
+};
+
+/// One run of a balancer process. A restart on the same VM has the same
+/// control endpoint and a higher incarnation, and is another member.
+struct member_id
+{
+    endpoint control;
+    std::uint64_t incarnation = 0;
+
+    friend constexpr auto operator<=>(member_id, member_id) = default;
+};
+
+/// Identifies a flow: who calls, and which service address is called.
+struct flow_key
+{
+    endpoint caller;
+    endpoint service_address;
+
+    friend constexpr auto operator<=>(flow_key, flow_key) = default;
+};
+
+/// Identifies a request over the whole fleet.
+struct request_key
+{
+    flow_key flow;
+    request_number request;
+
+    friend constexpr auto operator<=>(request_key, request_key) = default;
+};
+
+/// Mixes a 64-bit value so that every input bit moves every output bit.
+/// Stable over builds and machines: members compare these values.
+constexpr std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 30U;
+    value *= 0xbf58476d1ce4e5b9U;
+    value ^= value >> 27U;
+    value *= 0x94d049bb133111ebU;
+    value ^= value >> 31U;
+    return value;
+}
+
+constexpr std::uint64_t hash_of(endpoint where)
+{
+    return (std::uint64_t{where.ip} << 16U) | where.port;
+}
+
+/// Fleet-wide hash of a flow; slots and server choices derive from it.
+constexpr std::uint64_t hash_of(flow_key flow)
+{
+    auto const caller = mix(hash_of(flow.caller) + 0x9e3779b97f4a7c15U);
+    return mix(caller ^ hash_of(flow.service_address));
+}
+
+constexpr std::uint64_t hash_of(request_key request)
+{
+    return mix(hash_of(request.flow) + request.request.value);
+}
+
+constexpr std::uint64_t hash_of(member_id member)
+{
+    return mix(hash_of(member.control) ^ mix(member.incarnation));
+}
+
+/// Slot of a flow, given how many slots the table has.
+constexpr slot_id slot_of(flow_key flow, std::size_t slots)
+{
+    return slot_id{static_cast<std::uint16_t>(hash_of(flow) % slots)};
+}
+
+} // namespace dotterelrouter
+
+template <class Tag, class Representation>
+struct std::hash<dotterelrouter::strong_id<Tag, Representation>>
+{
+    std::size_t
+    operator()(dotterelrouter::strong_id<Tag, Representation> id) const
+    {
+        return dotterelrouter::mix(id.value);
+    }
+};
+
+template <>
+struct std::hash<dotterelrouter::endpoint>
+{
+    std::size_t operator()(dotterelrouter::endpoint where) const
+    {
+        return dotterelrouter::mix(dotterelrouter::hash_of(where));
+    }
+};
+
+template <>
+struct std::hash<dotterelrouter::member_id>
+{
+    std::size_t operator()(dotterelrouter::member_id member) const
+    {
+        return dotterelrouter::hash_of(member);
+    }
+};
+
+template <>
+struct std::hash<dotterelrouter::flow_key>
+{
+    std::size_t operator()(dotterelrouter::flow_key flow) const
+    {
+        return dotterelrouter::hash_of(flow);
+    }
+};
+
+template <>
+struct std::hash<dotterelrouter::request_key>
+{
+    std::size_t operator()(dotterelrouter::request_key request) const
+    {
+        return dotterelrouter::hash_of(request);
+    }
+};
