Number each attempt and let the server echo it

Cause: a refusal by a server that arrives twice could be taken for the refusal of a second attempt at the same server, and a third attempt would then run the request twice. Ruled out: never retrying at the same server, since a flow has to stay at its server. Conclusion: a retry can tell which attempt was refused.

--- a/dotterelrouter/core/internal/packets.hpp
+++ b/dotterelrouter/core/internal/packets.hpp
@@ -32,9 +32,11 @@
 {
     request_key key;
     request_type type = request_type::request;
-    wall_time issued;      ///< When the caller made the request.
-    wall_time deadline;    ///< After this no server may start it.
-    std::uint8_t hops = 0; ///< How many balancers passed it on.
+    wall_time issued;         ///< When the caller made the request.
+    wall_time deadline;       ///< After this no server may start it.
+    std::uint8_t hops = 0;    ///< How many balancers passed it on.
+    std::uint8_t attempt = 0; ///< Which try of the balancer this is; the
+                              ///< server echoes it.
     byte_view payload;
 };
 
@@ -61,6 +63,7 @@
 {
     request_key key;
     server_status status = server_status::ok;
+    std::uint8_t attempt = 0; ///< Echo of request_packet::attempt.
     std::uint16_t part = 0;
     std::uint16_t parts = 1;
     load_report load;
