--- /dev/null
+++ b/dotterelrouter/runtime/event_loop.cpp
@@ -0,0 +1,103 @@
+#include "dotterelrouter/runtime/internal/event_loop.hpp"
+
+#include <event2/event.h>
+
+#include <utility>
+
+namespace dotterelrouter
+{
+
+namespace internal
+{
+
+void event_base_deleter::operator()(::event_base* base) const
+{
+    event_base_free(base);
+}
+
+void event_deleter::operator()(::event* registered) const
+{
+    event_free(registered);
+}
+
+namespace
+{
+
+struct event_config_deleter
+{
+    void operator()(::event_config* config) const
+    {
+        event_config_free(config);
+    }
+};
+
+event_base_pointer make_base()
+{
+    std::unique_ptr<::event_config, event_config_deleter> const config{
+        event_config_new()};
+    if (!config)
+    {
+        return {};
+    }
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_NOLOCK);
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+    return event_base_pointer{event_base_new_with_config(config.get())};
+}
+
+} // namespace
+} // namespace internal
+
+instant system_clock_source::now() const
+{
+    return {std::chrono::steady_clock::now(), std::chrono::system_clock::now()};
+}
+
+event_loop::event_loop() : base_(internal::make_base())
+{
+    if (!base_)
+    {
+        throw runtime_error("event loop: libevent has no base");
+    }
+}
+
+int event_loop::run()
+{
+    auto const result = event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+    if (thrown_)
+    {
+        std::rethrow_exception(std::exchange(thrown_, nullptr));
+    }
+    if (result < 0)
+    {
+        throw runtime_error("event loop: libevent failed");
+    }
+    return exit_code_;
+}
+
+void event_loop::stop(int exit_code)
+{
+    exit_code_ = exit_code;
+    event_base_loopbreak(base_.get());
+}
+
+void event_loop::fail(std::exception_ptr thrown) noexcept
+{
+    if (!thrown_)
+    {
+        thrown_ = std::move(thrown);
+    }
+    event_base_loopbreak(base_.get());
+}
+
+std::string to_string(endpoint where)
+{
+    std::string text;
+    for (unsigned const shift : {24U, 16U, 8U, 0U})
+    {
+        text += std::to_string((where.ip >> shift) & 0xffU);
+        text += shift == 0 ? ':' : '.';
+    }
+    return text + std::to_string(where.port);
+}
+
+} // namespace dotterelrouter
