--- a/dotterelrouter/core/internal/events.hpp
+++ b/dotterelrouter/core/internal/events.hpp
@@ -84,9 +84,21 @@
     std::span<vm_record const> vms;
 };
 
-/// The platform did not answer a read.
+/// A read on the platform.
+enum class platform_read : std::uint8_t
+{
+    assignments,
+    manifest,
+    chunk,
+    vm_list
+};
+
+/// The platform did not answer a read. Each read ends in either its answer
+/// or this.
 struct platform_unavailable
 {
+    platform_read what = platform_read::assignments;
+    chunk_hash chunk; ///< Which one; only when `what` is a chunk.
 };
 
 /// The time asked for by `wake_at` has come.
