--- /dev/null
+++ b/dotterelrouter/admission/admission.cpp
@@ -0,0 +1,1 @@
+#include "dotterelrouter/admission/admission.hpp"
--- a/dotterelrouter/core/internal/verdict.hpp
+++ b/dotterelrouter/core/internal/verdict.hpp
@@ -36,6 +36,17 @@
     clock_skew
 };
 
+/// How one try of a request at a backend server ended. Real work: probes
+/// and load reports are none.
+enum class try_outcome : std::uint8_t
+{
+    ok,        ///< The whole answer came.
+    shed,      ///< Refused for load; not run.
+    refused,   ///< Refused as draining or expired; says nothing of load.
+    timed_out, ///< No answer in time.
+    cancelled  ///< Given up by the caller; says nothing of the server.
+};
+
 /// What a caller is told of a request. `not_run` is a statement about every
 /// balancer, the past and the future; only that may be retried elsewhere.
 ///
--- /dev/null
+++ b/dotterelrouter/health/health.cpp
@@ -0,0 +1,1 @@
+#include "dotterelrouter/health/health.hpp"
--- /dev/null
+++ b/dotterelrouter/health/health.hpp
@@ -0,0 +1,86 @@
+// Which backend servers are usable, and how much of their capacity.
+//
+//     health servers(self);
+//     servers.configure(*configuration, now);
+//     servers.on_outcome(server, try_outcome::timed_out, latency, now, out);
+//     if (servers.usable(server)) { ... servers.weight(server, now) ... }
+//
+// Outcomes of real work decide. Other members' opinions count as a few
+// outcomes; load reports only break ties. When most servers of a service
+// look dead, the view is distrusted and none is left out.
+// Not synchronised.
+#pragma once
+
+#include "dotterelrouter/config/config.hpp"
+#include "dotterelrouter/core/core.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace dotterelrouter
+{
+
+/// Members that probe one server.
+inline constexpr std::size_t probers_per_server = 2;
+
+/// True if `self` is among the `probers_per_server` members that probe a
+/// server: those ranking highest for it. Constant per server, whatever the
+/// number of members; moves little as members change.
+[[nodiscard]] bool
+probes(member_id self, server_id server, std::span<member_id const> members);
+
+/// Follows how each backend server fares.
+class health
+{
+public:
+    explicit health(member_id self);
+
+    /// Takes the declared servers into force; keeps what is known of those
+    /// still declared. A server that appears later than the first call is
+    /// taken as cold.
+    void configure(configuration const& declared, instant now);
+
+    /// A try at a server has ended.
+    void on_outcome(server_id server,
+                    try_outcome outcome,
+                    duration latency,
+                    instant now,
+                    effects& out);
+
+    /// The answer to a probe, or its absence. Weighs less than real work.
+    void on_probe(server_id server, bool answered, instant now, effects& out);
+
+    /// The load a server reports of itself; it may lag or be wrong.
+    void on_load_report(server_id server, load_report report, instant now);
+
+    /// What another member thinks of a server.
+    void on_opinion(member_id from,
+                    server_opinion opinion,
+                    instant now,
+                    effects& out);
+
+    /// Restores servers whose ejection is over.
+    void on_timer(instant now, effects& out);
+
+    /// False while a server is ejected, unless too many of its service are.
+    [[nodiscard]] bool usable(server_id server) const;
+
+    /// Share of its capacity a server may get, in (0, 1]: small for a cold
+    /// or restored one, rising to 1 with time and good answers.
+    [[nodiscard]] double weight(server_id server, instant now) const;
+
+    /// Reported load over slots, for breaking ties; 0 if none is recent.
+    [[nodiscard]] double reported_load(server_id server, instant now) const;
+
+    /// Own opinions to spread, those changed last first. Valid until the
+    /// next call that is not const.
+    [[nodiscard]] std::span<server_opinion const>
+    opinions(std::size_t limit) const;
+
+    /// When on_timer is due; none: nothing is ejected.
+    [[nodiscard]] std::optional<steady_time> next_wake() const;
+};
+
+} // namespace dotterelrouter
