--- a/dotterelrouter/balancer/internal/request_pool.hpp
+++ b/dotterelrouter/balancer/internal/request_pool.hpp
@@ -78,7 +78,7 @@
     part_set parts;
     steady_time accepted;
     steady_time sent;
-    steady_time expires; ///< When the balancer gives up on it.
+    steady_time expires;          ///< When the balancer gives up on it.
     std::uint32_t generation = 0; ///< Tells users of one ticket apart.
     bool in_use = false;
 };
--- a/dotterelrouter/routing/internal/flow_table.hpp
+++ b/dotterelrouter/routing/internal/flow_table.hpp
@@ -29,6 +29,8 @@
     std::uint16_t requests = 0;  ///< Seen so far; stays at its maximum.
     /// The server is not the one a successor would compute: see first_choice.
     bool deviates = false;
+    /// The witness of its slot was told its server.
+    bool copied = false;
 
     [[nodiscard]] constexpr flow_key key() const
     {
