--- a/dotterelrouter/runtime/event_loop.cpp
+++ b/dotterelrouter/runtime/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include <csignal>
 #include <utility>
 
 namespace dotterelrouter
@@ -58,6 +59,7 @@
     {
         throw runtime_error("event loop: libevent has no base");
     }
+    std::signal(SIGPIPE, SIG_IGN);
 }
 
 int event_loop::run()
--- a/dotterelrouter/runtime/internal/event_loop.hpp
+++ b/dotterelrouter/runtime/internal/event_loop.hpp
@@ -51,7 +51,8 @@
 class event_loop
 {
 public:
-    /// Throws runtime_error if libevent can't be set up.
+    /// Throws runtime_error if libevent can't be set up. Makes the process
+    /// ignore SIGPIPE: a peer that has gone shows as a failed write.
     event_loop();
     event_loop(event_loop const&) = delete;
     event_loop& operator=(event_loop const&) = delete;
--- a/dotterelrouter/runtime/internal/http_port.hpp
+++ b/dotterelrouter/runtime/internal/http_port.hpp
@@ -15,7 +15,7 @@
 using http_exchange = strong_id<struct http_exchange_tag, std::uint64_t>;
 
 /// The methods that are let through.
-enum class http_method : std::uint8_t
+enum class http_port_method : std::uint8_t
 {
     get,
     put,
@@ -24,17 +24,17 @@
 };
 
 /// An HTTP request. The views are valid during the call only.
-struct http_request
+struct http_port_request
 {
     http_exchange exchange;
-    http_method method = http_method::get;
+    http_port_method method = http_port_method::get;
     std::string_view path;  ///< Without the query, such as /metrics.
     std::string_view query; ///< Without the question mark, still encoded.
     std::string_view body;
 };
 
 /// A response to one request.
-struct http_response
+struct http_port_response
 {
     int status = 200;
     std::string_view content_type = "text/plain; charset=utf-8";
@@ -55,7 +55,7 @@
 class raw_http_port
 {
 public:
-    using callback = void (*)(void* context, http_request const& request);
+    using callback = void (*)(void* context, http_port_request const& request);
 
     raw_http_port(event_loop& loop,
                   endpoint where,
@@ -66,7 +66,7 @@
     raw_http_port& operator=(raw_http_port const&) = delete;
     ~raw_http_port();
 
-    void respond(http_exchange exchange, http_response const& response);
+    void respond(http_exchange exchange, http_port_response const& response);
 
     [[nodiscard]] endpoint local() const;
 
@@ -77,8 +77,8 @@
 
 } // namespace internal
 
-/// An HTTP server that calls `handler.on_http_request(http_request const&)`.
-/// The response may be given at once or later.
+/// An HTTP server that calls `handler.on_http_request(http_port_request
+/// const&)`. The response may be given at once or later.
 template <class Handler>
 class http_port
 {
@@ -94,7 +94,7 @@
     }
 
     /// Does nothing if the client has gone or has had its response.
-    void respond(http_exchange exchange, http_response const& response)
+    void respond(http_exchange exchange, http_port_response const& response)
     {
         port_.respond(exchange, response);
     }
@@ -106,7 +106,7 @@
     }
 
 private:
-    static void on_received(void* handler, http_request const& request)
+    static void on_received(void* handler, http_port_request const& request)
     {
         static_cast<Handler*>(handler)->on_http_request(request);
     }
