Check, split and spread configurations

Cause: declarations were checked in part only, and nothing decided which epoch is in force. Two servers at one endpoint, or an address that is a server's own endpoint, would have passed the checks.

Change: the builder refuses those, and gives the same parts whatever the order of declarations. An older copy moves nobody back and is replaced by compare-and-swap.

Ruled out: restoring as soon as an old copy is seen (every watcher would write every chunk at once): a reader waits up to 1 s and reads again first.

--- /dev/null
+++ b/dotterelrouter/config/chunks.cpp
@@ -0,0 +1,228 @@
+#include "dotterelrouter/config/config.hpp"
+
+#include <xxhash.h>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace dotterelrouter
+{
+namespace
+{
+
+/// Hashes fields one after the other. Each text goes with its length, so
+/// that no two sequences of fields give the same bytes.
+class content_hasher
+{
+public:
+    content_hasher() : state_(XXH64_createState())
+    {
+        XXH64_reset(state_.get(), 0);
+    }
+
+    void add(std::string_view text)
+    {
+        add(text.size());
+        XXH64_update(state_.get(), text.data(), text.size());
+    }
+
+    void add(std::uint64_t value)
+    {
+        // Least significant byte first on every machine.
+        std::array<unsigned char, sizeof(value)> bytes{};
+        for (std::size_t i = 0; i < bytes.size(); ++i)
+        {
+            bytes.at(i) = static_cast<unsigned char>(value >> (8 * i));
+        }
+        XXH64_update(state_.get(), bytes.data(), bytes.size());
+    }
+
+    [[nodiscard]] std::uint64_t finish() const
+    {
+        return XXH64_digest(state_.get());
+    }
+
+private:
+    struct free_state
+    {
+        void operator()(XXH64_state_t* state) const
+        {
+            XXH64_freeState(state);
+        }
+    };
+
+    std::unique_ptr<XXH64_state_t, free_state> state_;
+};
+
+void add_server(content_hasher& into, server_declaration const& item)
+{
+    into.add(item.name);
+    into.add(item.service);
+    into.add(hash_of(item.where));
+    into.add(item.data_centre);
+    into.add(item.slots);
+    into.add(item.connections);
+    into.add(item.leaving ? 1U : 0U);
+}
+
+server_declaration declaration_of(backend_server const& server,
+                                  service const& owner,
+                                  configuration const& whole)
+{
+    return {.name = server.name,
+            .service = owner.name,
+            .where = server.where,
+            .data_centre =
+                std::string(whole.data_centre_name(server.data_centre)),
+            .slots = server.slots,
+            .connections = server.connections,
+            .leaving = server.leaving};
+}
+
+std::shared_ptr<configuration_chunk const> chunk_of(service const& owner,
+                                                    configuration const& whole)
+{
+    auto made = std::make_shared<configuration_chunk>();
+    made->service = owner.name;
+    for (auto const& server : owner.servers)
+    {
+        made->servers.push_back(declaration_of(server, owner, whole));
+    }
+    for (auto const& address : whole.addresses())
+    {
+        if (address.service == owner.id)
+        {
+            made->addresses.push_back({.where = address.where,
+                                       .service = owner.name,
+                                       .kind = whole.kind(address.kind).name});
+        }
+    }
+    made->hash = hash_of_content(*made);
+    return made;
+}
+
+void add_chunk(configuration_builder& into, configuration_chunk const& chunk)
+{
+    for (auto const& server : chunk.servers)
+    {
+        into.server(server);
+    }
+    for (auto const& address : chunk.addresses)
+    {
+        into.address(address);
+    }
+}
+
+} // namespace
+
+chunk_hash hash_of_content(configuration_chunk const& chunk)
+{
+    content_hasher hasher;
+    hasher.add(chunk.service);
+    hasher.add(chunk.servers.size());
+    for (auto const& server : chunk.servers)
+    {
+        add_server(hasher, server);
+    }
+    hasher.add(chunk.addresses.size());
+    for (auto const& address : chunk.addresses)
+    {
+        hasher.add(hash_of(address.where));
+        hasher.add(address.service);
+        hasher.add(address.kind);
+    }
+    return chunk_hash{hasher.finish()};
+}
+
+std::uint64_t hash_of_content(configuration_manifest const& manifest)
+{
+    content_hasher hasher;
+    hasher.add(manifest.epoch.value);
+    hasher.add(manifest.kinds.size());
+    for (auto const& kind : manifest.kinds)
+    {
+        hasher.add(kind.name);
+        hasher.add(kind.urgency);
+        hasher.add(kind.share_percent);
+        hasher.add(kind.idempotent ? 1U : 0U);
+        hasher.add(static_cast<std::uint64_t>(kind.default_deadline.count()));
+    }
+    hasher.add(manifest.leaving_vms.size());
+    for (auto const vm : manifest.leaving_vms)
+    {
+        hasher.add(vm);
+    }
+    hasher.add(manifest.chunks.size());
+    for (auto const hash : manifest.chunks)
+    {
+        hasher.add(hash.value);
+    }
+    return hasher.finish();
+}
+
+std::vector<std::shared_ptr<configuration_chunk const>>
+split(configuration const& whole)
+{
+    std::vector<std::shared_ptr<configuration_chunk const>> chunks;
+    for (auto const& owner : whole.services())
+    {
+        chunks.push_back(chunk_of(owner, whole));
+    }
+    return chunks;
+}
+
+std::shared_ptr<configuration_manifest const>
+manifest_of(configuration const& whole)
+{
+    auto made = std::make_shared<configuration_manifest>();
+    made->epoch = whole.epoch();
+    made->kinds.assign(whole.kinds().begin(), whole.kinds().end());
+    made->leaving_vms.assign(whole.leaving_vms().begin(),
+                             whole.leaving_vms().end());
+    for (auto const& chunk : split(whole))
+    {
+        made->chunks.push_back(chunk->hash);
+    }
+    return made;
+}
+
+std::shared_ptr<configuration const>
+assemble(configuration_manifest const& manifest,
+         std::span<std::shared_ptr<configuration_chunk const> const> chunks)
+{
+    std::unordered_map<chunk_hash, configuration_chunk const*> by_hash;
+    for (auto const& chunk : chunks)
+    {
+        by_hash.emplace(chunk->hash, chunk.get());
+    }
+    configuration_builder builder;
+    builder.epoch(manifest.epoch);
+    for (auto const& kind : manifest.kinds)
+    {
+        builder.kind(kind);
+    }
+    for (auto const vm : manifest.leaving_vms)
+    {
+        builder.leaving_vm(vm);
+    }
+    for (auto const hash : manifest.chunks)
+    {
+        auto const found = by_hash.find(hash);
+        if (found == by_hash.end())
+        {
+            throw config_error("manifest.chunks: a chunk is missing");
+        }
+        if (hash_of_content(*found->second) != hash)
+        {
+            throw config_error("manifest.chunks: the content of service '" +
+                               found->second->service +
+                               "' does not match its hash");
+        }
+        add_chunk(builder, *found->second);
+    }
+    return builder.build();
+}
+
+} // namespace dotterelrouter
--- a/dotterelrouter/config/config.cpp
+++ b/dotterelrouter/config/configuration.cpp
@@ -12,9 +12,10 @@
 {
 
 constexpr std::uint32_t max_share_percent = 100;
+constexpr std::size_t max_kinds = 256;
 
-template <class Container>
-void check_unique(Container const& items, std::string_view field)
+template <class Declaration>
+void check_unique(std::span<Declaration const> items, std::string_view field)
 {
     std::set<std::string_view> seen;
     for (auto const& item : items)
@@ -64,6 +65,11 @@
     {
         throw config_error("server.service: empty for '" + declared.name + "'");
     }
+    if (declared.data_centre.empty())
+    {
+        throw config_error("server.data_centre: empty for '" + declared.name +
+                           "'");
+    }
     if (declared.slots == 0)
     {
         throw config_error("server.slots: 0 for '" + declared.name +
@@ -80,6 +86,47 @@
     }
 }
 
+void check_kind(work_kind const& declared)
+{
+    if (declared.share_percent > max_share_percent)
+    {
+        throw config_error(
+            "kind.share_percent: " + std::to_string(declared.share_percent) +
+            " for '" + declared.name + "', expected 0 to 100");
+    }
+    if (declared.default_deadline <= duration::zero())
+    {
+        throw config_error("kind.default_deadline: not positive for '" +
+                           declared.name + "'");
+    }
+}
+
+void check_places(std::span<server_declaration const> servers,
+                  std::span<address_declaration const> addresses)
+{
+    std::map<endpoint, std::string_view> taken;
+    for (auto const& item : servers)
+    {
+        auto const [place, fresh] = taken.emplace(item.where, item.name);
+        if (!fresh)
+        {
+            throw config_error("server.where: '" + item.name +
+                               "' has the endpoint of '" +
+                               std::string(place->second) + "'");
+        }
+    }
+    for (auto const& item : addresses)
+    {
+        auto const place = taken.find(item.where);
+        if (place != taken.end())
+        {
+            throw config_error("address.where: one of service '" +
+                               item.service + "' is the endpoint of server '" +
+                               std::string(place->second) + "'");
+        }
+    }
+}
+
 void check_shares(std::span<service_address const> addresses,
                   std::span<work_kind const> kinds)
 {
@@ -111,6 +158,13 @@
     return XXH32(name.data(), name.size(), 0);
 }
 
+std::string_view configuration::data_centre_name(data_centre_id id) const
+{
+    auto const found = data_centre_names_.find(id);
+    return found == data_centre_names_.end() ? std::string_view{}
+                                             : found->second;
+}
+
 service_address const* configuration::find_address(endpoint where) const
 {
     auto const found = address_index_.find(where);
@@ -161,34 +215,45 @@
     return *this;
 }
 
-std::shared_ptr<configuration const> configuration_builder::build() const
+void configuration_builder::add_services(configuration& made) const
 {
-    check_unique(kinds_, "kind.name");
-    check_unique(servers_, "server.name");
-    std::ranges::for_each(servers_, check_server);
-
-    auto made = std::make_shared<configuration>();
-    made->epoch_ = epoch_;
-    made->kinds_ = kinds_;
-    made->leaving_vms_ = leaving_vms_;
-    made->services_ = group_servers(servers_);
-    for (std::size_t i = 0; i < made->services_.size(); ++i)
+    made.services_ = group_servers(servers_);
+    for (std::size_t i = 0; i < made.services_.size(); ++i)
     {
-        auto const& item = made->services_[i];
-        if (!made->service_index_.emplace(item.id, i).second)
+        auto const& item = made.services_[i];
+        if (!made.service_index_.emplace(item.id, i).second)
         {
             throw config_error("server.service: '" + item.name +
                                "' has the id of another name");
         }
         for (auto const& server : item.servers)
         {
-            if (!made->server_index_.emplace(server.id, &server).second)
+            if (!made.server_index_.emplace(server.id, &server).second)
             {
                 throw config_error("server.name: '" + server.name +
                                    "' has the id of another name");
             }
         }
     }
+}
+
+void configuration_builder::add_data_centres(configuration& made) const
+{
+    for (auto const& item : servers_)
+    {
+        auto const id = data_centre_id{id_from_name(item.data_centre)};
+        auto const [place, fresh] =
+            made.data_centre_names_.emplace(id, item.data_centre);
+        if (!fresh && place->second != item.data_centre)
+        {
+            throw config_error("server.data_centre: '" + item.data_centre +
+                               "' has the id of '" + place->second + "'");
+        }
+    }
+}
+
+void configuration_builder::add_addresses(configuration& made) const
+{
     for (auto const& item : addresses_)
     {
         auto const kind =
@@ -199,20 +264,51 @@
                                "' is not declared");
         }
         auto const service = service_id{id_from_name(item.service)};
-        if (made->find_service(service) == nullptr)
+        if (made.find_service(service) == nullptr)
         {
             throw config_error("address.service: '" + item.service +
                                "' has no server");
         }
-        if (!made->address_index_.emplace(item.where, made->addresses_.size())
-                 .second)
+        made.addresses_.push_back({item.where, service, kind->id});
+    }
+    std::ranges::sort(made.addresses_, {}, &service_address::where);
+    for (std::size_t i = 0; i < made.addresses_.size(); ++i)
+    {
+        auto const& item = made.addresses_[i];
+        if (!made.address_index_.emplace(item.where, i).second)
         {
             throw config_error("address.where: one endpoint stands twice, "
                                "for service '" +
-                               item.service + "'");
+                               made.find_service(item.service)->name + "'");
         }
-        made->addresses_.push_back({item.where, service, kind->id});
     }
+}
+
+std::shared_ptr<configuration const> configuration_builder::build() const
+{
+    if (kinds_.size() > max_kinds)
+    {
+        throw config_error("kind: " + std::to_string(kinds_.size()) +
+                           " declared, expected at most " +
+                           std::to_string(max_kinds));
+    }
+    check_unique(std::span{kinds_}, "kind.name");
+    check_unique(std::span{servers_}, "server.name");
+    std::ranges::for_each(kinds_, check_kind);
+    std::ranges::for_each(servers_, check_server);
+    check_places(servers_, addresses_);
+
+    auto made = std::make_shared<configuration>();
+    made->epoch_ = epoch_;
+    made->kinds_ = kinds_;
+    made->leaving_vms_ = leaving_vms_;
+    std::ranges::sort(made->leaving_vms_);
+    made->leaving_vms_.erase(
+        std::unique(made->leaving_vms_.begin(), made->leaving_vms_.end()),
+        made->leaving_vms_.end());
+    add_services(*made);
+    add_data_centres(*made);
+    add_addresses(*made);
     check_shares(made->addresses_, made->kinds_);
     return made;
 }
--- a/dotterelrouter/config/internal/configuration.hpp
+++ b/dotterelrouter/config/internal/configuration.hpp
@@ -213,12 +213,17 @@
     configuration_builder& address(address_declaration value);
     configuration_builder& leaving_vm(std::uint32_t control_ip);
 
-    /// Throws config_error, naming the field, if a name stands twice, two
-    /// names have one id, a reference is unknown, a service has no server,
-    /// shares exceed 100 percent on one service or a number is out of range.
+    /// Throws config_error, naming the field, if a name or endpoint stands
+    /// twice, two names have one id, a reference is unknown, a service has no
+    /// server, shares exceed 100 percent on one service or a number is out of
+    /// range. The order of declarations other than kinds does not matter.
     [[nodiscard]] std::shared_ptr<configuration const> build() const;
 
 private:
+    void add_services(configuration& made) const;
+    void add_data_centres(configuration& made) const;
+    void add_addresses(configuration& made) const;
+
     epoch_number epoch_;
     std::vector<work_kind> kinds_;
     std::vector<server_declaration> servers_;
--- a/dotterelrouter/config/internal/distribution.hpp
+++ b/dotterelrouter/config/internal/distribution.hpp
@@ -135,12 +135,12 @@
     struct candidate
     {
         manifest_pointer manifest;
-        std::uint64_t content = 0; ///< hash_of_content of the manifest.
-        /// Members known to have it, at most four.
-        std::vector<member_id> sources;
-        bool from_store = false;  ///< The key-value service has it.
-        std::size_t attempts = 0; ///< Fetches since the last progress.
-        steady_time retry;        ///< When to fetch again.
+        std::uint64_t content = 0;      ///< hash_of_content of the manifest.
+        std::vector<member_id> sources; ///< Members that have it; bounded.
+        bool in_store = false;          ///< The key-value service has it.
+        std::size_t attempts = 0;       ///< Fetches since the last progress.
+        std::size_t awaited = 0;        ///< Chunks asked for and not come.
+        steady_time retry;              ///< When to fetch again.
     };
 
     /// A manifest asked of one peer.
@@ -151,50 +151,54 @@
         steady_time expires;
     };
 
-    enum class read_state : std::uint8_t
-    {
-        idle,
-        reading
-    };
-
+    // Manifests and chunks that come in.
     void consider(manifest_pointer const& value,
                   std::optional<member_id> source,
                   instant now,
                   effects& out);
-    bool acceptable(configuration_manifest const& value,
-                    std::uint64_t content,
-                    effects& out);
+    [[nodiscard]] bool later(configuration_manifest const& value,
+                             std::uint64_t content,
+                             effects& out);
     candidate& find_or_add(manifest_pointer const& value,
-                           std::uint64_t content,
-                           instant now);
-    void take_chunk(chunk_pointer const& value, instant now, effects& out);
+                           std::uint64_t content);
+    bool take_chunk(chunk_hash asked,
+                    chunk_pointer const& value,
+                    instant now,
+                    effects& out);
+    void bad_chunk(chunk_hash hash,
+                   std::optional<member_id> source,
+                   instant now,
+                   effects& out);
     void advance(instant now, effects& out);
-    bool try_complete(std::size_t index, instant now, effects& out);
-    void put_in_force(manifest_pointer const& manifest,
-                      std::shared_ptr<configuration const> made,
-                      instant now,
-                      effects& out);
+    void complete(manifest_pointer const& manifest,
+                  std::uint64_t content,
+                  instant now,
+                  effects& out);
     void refuse(std::uint64_t content,
                 epoch_number epoch,
                 std::string_view why,
                 effects& out);
-    void fetch(candidate& wanted, instant now, effects& out);
-    void retry_candidates(instant now, effects& out);
     [[nodiscard]] std::vector<chunk_hash> missing(candidate const& of) const;
+    [[nodiscard]] bool is_wanted(chunk_hash hash) const;
     void forget_unused_chunks();
+
+    // Fetching and spreading.
+    void fetch(candidate& wanted, instant now, effects& out);
+    void retry_candidates(instant now, effects& out);
     void push(instant now, effects& out);
     void ask_for_first(instant now, effects& out);
     void
     ask_manifest(member_id peer, epoch_number epoch, instant now, effects& out);
+    [[nodiscard]] std::vector<member_id> random_members(std::size_t number);
+
+    // The key-value service.
     void start_read(instant now, effects& out);
-    void read_ended(instant now, effects& out);
-    void schedule_read(steady_time when);
-    void restore(manifest_read const& read, instant now, effects& out);
-    void elect(std::span<member_record const> others,
-               member_record const& self);
+    void read_failed(instant now);
+    void schedule_read(instant now);
+    void on_old_copy(manifest_read const& read, instant now, effects& out);
+    [[nodiscard]] bool elected(std::span<member_record const> others,
+                               member_record const& self) const;
     [[nodiscard]] duration jittered(duration whole);
-    [[nodiscard]] std::optional<member_id> random_member();
-    void send(member_id to, peer_message message, effects& out) const;
 
     distribution_settings settings_;
     member_id self_;
@@ -208,18 +212,17 @@
     std::vector<candidate> candidates_;
     std::vector<manifest_ask> asks_;
     std::vector<std::uint64_t> refused_; ///< Contents of bad manifests.
+    std::vector<member_id> members_;     ///< Others that may answer.
 
-    std::vector<member_id> members_; ///< Others that may answer.
     bool watcher_ = false;
-
-    read_state reading_ = read_state::idle;
+    bool reading_ = false;          ///< A read is in progress.
     bool read_before_watch_ = true; ///< The next read must not wait.
-    bool watching_ = false;         ///< The read in progress waits.
+    bool old_copy_seen_ = false;    ///< The last read was of an older epoch.
     steady_time read_at_;           ///< When to read, or to give up.
     duration backoff_{};
     std::size_t pushes_left_ = 0;
     steady_time push_at_;
-    steady_time first_at_;
+    steady_time first_at_; ///< When to ask peers for a first manifest.
 };
 
 using distribution = basic_distribution<distribution_rules>;
