--- a/dotterelrouter/platform/internal/http_client.hpp
+++ b/dotterelrouter/platform/internal/http_client.hpp
@@ -27,12 +27,12 @@
 /// One call. The strings are copied when it starts.
 struct http_request
 {
-    endpoint to;
+    endpoint to{};
     http_method method = http_method::get;
-    std::string path;          ///< With the query, encoded.
-    std::string if_match;      ///< Header If-Match; empty: not sent.
-    std::string if_none_match; ///< Header If-None-Match; empty: not sent.
-    byte_view body;
+    std::string path{};          ///< With the query, encoded.
+    std::string if_match{};      ///< Header If-Match; empty: not sent.
+    std::string if_none_match{}; ///< Header If-None-Match; empty: not sent.
+    byte_view body{};
     duration timeout = std::chrono::seconds{2};
 };
 
@@ -48,13 +48,13 @@
 struct http_response
 {
     http_result result = http_result::lost;
-    int status = 0;         ///< Such as 200.
-    std::string_view etag;  ///< Header ETag without quotes.
-    std::string_view range; ///< Header X-Complete of a prefix read.
-    byte_view body;
+    int status = 0;          ///< Such as 200.
+    std::string_view etag{}; ///< Header ETag without quotes.
+    bool complete = true;    ///< Header X-Complete of a prefix read.
+    byte_view body{};
 };
 
-/// Called once when a call has ended.
+/// Called once when a call has ended; must not throw.
 using http_callback = void (*)(void* context, http_response const& response);
 
 /// Settings of an http_client.
--- a/dotterelrouter/platform/platform.hpp
+++ b/dotterelrouter/platform/platform.hpp
@@ -14,6 +14,7 @@
 #include "dotterelrouter/core/core.hpp"
 #include "dotterelrouter/platform/internal/http_client.hpp"
 #include "dotterelrouter/platform/internal/platform_calls.hpp"
+#include "dotterelrouter/platform/internal/store_protocol.hpp"
 
 #include <utility>
 
@@ -21,7 +22,8 @@
 {
 
 /// What takes the events. `deliver` is called from the loop, never from
-/// within `carry_out`; the event's views are valid during the call only.
+/// within `carry_out`, and must not throw (the caller is libevent); the
+/// event's views are valid during the call only.
 template <class Sink>
 concept platform_sink = requires(Sink& sink, event const& happened)
 {
