Find out which balancers live by random probes and gossip

Cause: the VM list lags and nothing else tells a balancer who can be reached. Change: a failure detector as a piece of reducer state: one probe an interval, indirect probes, suspicion refuted by sequence, incarnations, greetings to listed VMs (which also heal a cut), and a strict `gone`. Ruled out: calling a member gone by silence alone, or by a VM list counted from when its answer arrived: a reader paused in between would take an old list for a new one. A member that was paused itself suspects nobody.

--- a/dotterelrouter/membership/membership.hpp
+++ b/dotterelrouter/membership/membership.hpp
@@ -36,7 +36,8 @@
     duration probe_interval = std::chrono::milliseconds{500};
     /// A direct probe unanswered for so long is tried through others.
     duration probe_timeout = std::chrono::milliseconds{150};
-    /// A suspect that refutes nothing for so long is dead.
+    /// A suspect that refutes nothing for so long is dead; longer in a fleet
+    /// of more than 15, by the logarithm of its size.
     duration suspicion = std::chrono::seconds{2};
     /// Records in a message besides the sender's own.
     std::size_t gossip_per_message = 6;
@@ -133,6 +134,7 @@
         steady_time heard;             ///< By itself or by vouching.
         steady_time suspected;         ///< When its suspicion began.
         std::uint32_t spread_left = 0; ///< Messages still to carry it.
+        bool leaving = false;          ///< It said so itself.
         bool unanswered = false;       ///< Missed our last direct probe.
     };
 
@@ -190,6 +192,7 @@
     void send_pong(member_id to, std::uint64_t sequence, effects& out);
     std::vector<member_record> gossip_for(member_id to);
     std::vector<server_opinion> next_opinions();
+    duration suspicion() const;
     std::uint32_t spread_count() const;
     std::size_t index_of(endpoint control) const;
     static constexpr std::size_t none = static_cast<std::size_t>(-1);
