Keep the right to a slot with one member by witnessed leases

Cause: two balancers that both believe they own a slot run one confirmation twice. Change: slots with owner and witness in the key-value service, changed by compare-and-swap; leases granted by the witness; takeover, adoption, planned handover, restore of a lost version; a bounded number of proposals and reads. Ruled out: renewing from the service, and a takeover without it (both were found faulty by the model). Resuming a right after a handover was given up under the same version: the successor's records would be stale, so a handover ends the right until a newer version is read. Attributing a late answer to a newer proposal: while another answer is due an outcome counts as unknown.

--- a/dotterelrouter/membership/membership.cpp
+++ b/dotterelrouter/membership/membership.cpp
@@ -220,9 +220,9 @@
 
 bool membership::gone(member_id id, steady_time known_since) const
 {
-    if (id == self_.id)
+    if (id.control == self_.id.control)
     {
-        return false;
+        return id.incarnation < self_.id.incarnation;
     }
     auto heard = known_since;
     auto const index = index_of(id.control);
--- a/dotterelrouter/ownership/ownership.hpp
+++ b/dotterelrouter/ownership/ownership.hpp
@@ -22,6 +22,7 @@
 #pragma once
 
 #include "dotterelrouter/core/core.hpp"
+#include "dotterelrouter/ownership/internal/slot_state.hpp"
 
 #include <chrono>
 #include <concepts>
@@ -119,8 +120,8 @@
     static constexpr bool check_version = true;
     /// Once ordered, a handover ends the right under that version.
     static constexpr bool handover_ends_right = true;
-    /// Only a handover that the owner completed passes on held_since.
-    static constexpr bool inherit_from_owner_only = true;
+    /// held_since is kept or inherited only over consecutive versions.
+    static constexpr bool check_history = true;
 };
 
 /// What ownership needs to know of the other members.
@@ -183,15 +184,15 @@
                               instant now,
                               effects& out);
     /// As the successor: all records of the owner `from` have arrived; call
-    /// before the acceptance is sent. held_since is inherited if the owner
-    /// then assigns the slot to us.
+    /// before the acceptance is sent. held_since is inherited if the next
+    /// version names us as owner.
     void on_handover_received(member_id from,
                               slot_version slot,
                               wall_time held_since,
                               instant now);
 
-    /// Decides what to propose and to hand over. Call after each timer and
-    /// change of membership; does nothing more often than plan_every.
+    /// Decides what to propose and to hand over. Call after each on_timer;
+    /// does nothing if the last plan is younger than plan_every.
     template <member_view Members>
     void plan(Members const& members, instant now, effects& out);
 
@@ -226,125 +227,94 @@
     }
 
 private:
-    /// Why an assignment is proposed.
-    enum class motive : std::uint8_t
-    {
-        none,
-        create,          ///< The slot was never written.
-        take_over,       ///< As witness of a dead owner.
-        adopt,           ///< Owner and witness are gone.
-        replace_witness, ///< As owner.
-        hand_over,       ///< As owner, to the successor.
-        refresh,         ///< As owner, to end a handover given up.
-        restore,         ///< The store lost a newer version.
-    };
-
-    /// A proposal until its outcome is known.
-    struct proposal
-    {
-        motive why = motive::none;
-        assignment value;
-        bool in_flight = false;
-        bool uncertain = false; ///< An earlier try may still land.
-        steady_time asked;
-    };
-
-    /// A handover on the owner's side.
-    struct handover_out
-    {
-        bool active = false;
-        member_id to;
-        steady_time ordered;
-    };
-
-    /// A handover on the successor's side.
-    struct handover_in
-    {
-        bool complete = false;
-        member_id from;
-        assignment_version version;
-        wall_time held_since;
-    };
-
-    /// All that is known of one slot.
-    struct slot_state
-    {
-        assignment known; ///< Version 0: none.
-        steady_time learned;
-        bool stored_valid = false; ///< The next two come from a read.
-        store_revision stored_revision;
-        assignment_version stored_version;
-        // As owner.
-        bool leased = false;
-        steady_time lease_until;
-        wall_time lease_until_wall;
-        steady_time last_granted;
-        std::optional<wall_time> held_since;
-        bool right_ended = false; ///< Until a newer version is known.
-        bool acquired = false;    ///< The time line shows it as acquired.
-        // As witness.
-        member_id granted_to;
-        assignment_version granted_version;
-        steady_time granted_until;
-        // Changes under way.
-        proposal proposed;
-        handover_out outgoing;
-        handover_in incoming;
-        member_id better;
-        steady_time better_since;
-        steady_time unowned_since;
-        bool unowned = false;
-    };
+    using slot_state = ownership_detail::slot_state;
+    using motive = ownership_detail::motive;
 
-    // clang-format off
     [[nodiscard]] slot_state* find_slot(slot_id slot);
     [[nodiscard]] bool same(member_id left, member_id right) const;
     [[nodiscard]] bool is_owner(slot_state const& state) const;
     [[nodiscard]] bool is_witness(slot_state const& state) const;
-    [[nodiscard]] bool swapping(slot_state const& state) const;
-    [[nodiscard]] bool granted_to_other(slot_state const& state, member_id owner, steady_time now) const;
-    [[nodiscard]] bool settled(instant now) const;
-    [[nodiscard]] bool current(slot_state const& state) const;
-    [[nodiscard]] std::uint64_t handover_nonce(slot_id slot, assignment_version version, member_id to) const;
-    // clang-format on
+    /// Neither to use nor to grant a right until a newer version is known.
+    [[nodiscard]] bool blocked(slot_state const& state) const;
+    [[nodiscard]] bool granted_to_other(slot_state const& state,
+                                        member_id owner,
+                                        steady_time now) const;
+    [[nodiscard]] wall_time until(slot_state const& state, instant now) const;
 
+    // Knowledge of the store.
     void
     learn(slot_id slot, assignment const& value, instant now, effects& out);
-    void inherit(slot_id slot, assignment const& value, slot_state& state);
-    void note_sight(instant now);
-    void
-    restore_if_lost(slot_id slot, slot_state& state, instant now, effects& out);
-    void read_soon(instant now, effects& out);
+    void record_change(slot_id slot,
+                       slot_state const& state,
+                       assignment const& value,
+                       effects& out) const;
+    void inherit(slot_state& state) const;
+    void note_answer(instant now);
+    void take_stored(slot_id slot,
+                     store_revision revision,
+                     assignment_version version,
+                     instant now,
+                     effects& out);
     void start_reads(instant now, effects& out);
-    void send_renewals(instant now, effects& out);
-    [[nodiscard]] bool
-    wants_renewal(slot_state const& state, instant now, bool all) const;
-    void expire(slot_id slot, slot_state& state, instant now, effects& out);
+    void read_soon(instant now, effects& out);
+    [[nodiscard]] duration read_gap() const;
+    [[nodiscard]] duration watch_gap() const;
+
+    // Leases.
+    [[nodiscard]] bool wants_renewal(slot_state const& state,
+                                     steady_time now) const;
+    [[nodiscard]] bool wants_retry(slot_state const& state,
+                                   steady_time now) const;
+    void send_renewals(instant now, bool all, effects& out);
+    [[nodiscard]] bool may_grant(slot_state const& state,
+                                 member_id from,
+                                 assignment_version version,
+                                 steady_time now) const;
+    void take_grant(slot_id slot,
+                    slot_state& state,
+                    steady_time sent,
+                    instant now,
+                    effects& out) const;
+
+    // Proposals.
+    [[nodiscard]] bool settled(steady_time now) const;
+    [[nodiscard]] bool can_propose(slot_state const& state,
+                                   steady_time now) const;
     void propose(slot_id slot,
                  motive why,
                  member_id owner,
                  member_id witness,
                  instant now,
                  effects& out);
-    void
-    send_proposal(slot_id slot, slot_state& state, instant now, effects& out);
-    [[nodiscard]] std::size_t proposals_in_flight() const;
-    [[nodiscard]] std::size_t handovers_active() const;
+    void send_proposal(slot_id slot, instant now, effects& out);
+    void restore(slot_id slot, instant now, effects& out);
+    void give_up_unanswered(instant now);
 
+    // Plans.
     template <class Members>
     void
     plan_slot(slot_id slot, Members const& members, instant now, effects& out);
     template <class Members>
-    void retry_proposal(slot_id slot,
-                        Members const& members,
-                        instant now,
-                        effects& out);
+    void repeat_proposal(slot_id slot,
+                         Members const& members,
+                         instant now,
+                         effects& out);
     template <class Members>
     void plan_as_owner(slot_id slot,
                        Members const& members,
                        instant now,
                        effects& out);
     template <class Members>
+    void replace_witness(slot_id slot,
+                         Members const& members,
+                         instant now,
+                         effects& out);
+    template <class Members>
+    void order_handover(slot_id slot,
+                        Members const& members,
+                        instant now,
+                        effects& out);
+    template <class Members>
     void plan_as_witness(slot_id slot,
                          Members const& members,
                          instant now,
@@ -362,15 +332,20 @@
     std::vector<handover_order> orders_;
     std::size_t live_members_ = 1;
     bool leaving_ = false;
+    // The store, as far as it can be seen.
     bool complete_read_ = false;
-    bool in_sight_ = false; ///< The store answered last time.
+    bool in_sight_ = false;
     steady_time in_sight_since_;
     steady_time last_answer_;
-    steady_time last_read_asked_;
-    steady_time next_watch_;
     bool read_wanted_ = true;
+    bool read_running_ = false;
+    steady_time last_read_;
+    bool watch_running_ = false;
+    steady_time next_watch_;
+    steady_time expecting_until_; ///< A swap to us is about to happen.
     steady_time next_renewal_;
     steady_time next_retry_;
+    steady_time next_tick_;
     steady_time next_plan_;
 };
 
@@ -380,3 +355,7 @@
 using ownership = basic_ownership<>;
 
 } // namespace dotterelrouter
+
+#include "dotterelrouter/ownership/internal/lease_impl.hpp"
+#include "dotterelrouter/ownership/internal/plan_impl.hpp"
+#include "dotterelrouter/ownership/internal/store_impl.hpp"
