--- a/dotterelrouter/admission/admission.hpp
+++ b/dotterelrouter/admission/admission.hpp
@@ -17,47 +17,22 @@
 // Not synchronised.
 #pragma once
 
+#include "dotterelrouter/admission/internal/deadline_wheel.hpp"
+#include "dotterelrouter/admission/internal/requests.hpp"
+#include "dotterelrouter/admission/internal/service_queues.hpp"
 #include "dotterelrouter/config/config.hpp"
 #include "dotterelrouter/core/core.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace dotterelrouter
 {
 
-/// The caller's own index of a request; small numbers, reused.
-using ticket_id = strong_id<struct ticket_tag, std::uint32_t>;
-
-/// A request that asks to be sent.
-struct queued_request
-{
-    ticket_id ticket;
-    service_id service;
-    kind_id kind;
-    /// The server of its flow; none: any server of the service will do.
-    std::optional<server_id> bound;
-    wall_time deadline;
-    bool retry = false; ///< Not its first try; earns no retry budget.
-};
-
-/// A request that may be sent now.
-struct admitted
-{
-    ticket_id ticket;
-    server_id server;
-    kind_id kind;
-};
-
-/// A request that left the queue unsent: it has not run.
-struct dropped_request
-{
-    ticket_id ticket;
-    reason why = reason::deadline_passed;
-};
-
 /// Decides which requests go to the servers now, in which order, and which
 /// are refused.
 ///
@@ -125,6 +100,128 @@
 
     /// When `expired` may have something to hand out; none: nothing waits.
     [[nodiscard]] std::optional<steady_time> next_wake(instant now) const;
+
+private:
+    struct candidate
+    {
+        std::uint32_t ticket = internal::no_index;
+        std::uint64_t sequence = 0;
+    };
+
+    internal::service_state* find_service(service_id id);
+    internal::server_state* find_server(server_id id);
+    internal::server_state const* find_server(server_id id) const;
+
+    void add_service(service const& declared, std::span<work_kind const> kinds);
+    void add_servers(service const& declared, std::uint32_t index);
+    void keep_learned(admission& old);
+    void set_limits(internal::service_state& service, double start);
+    void link(std::uint32_t ticket);
+    void unlink(std::uint32_t ticket);
+    void drop(std::uint32_t ticket, reason why);
+    void mark_ready(std::uint32_t service);
+    [[nodiscard]] bool
+    would_wait_too_long(internal::service_state const& service,
+                        kind_id kind,
+                        duration left) const;
+
+    void mark_candidates(internal::service_state& service);
+    [[nodiscard]] kind_id kind_of(internal::service_state const& service,
+                                  internal::share_account const& account) const;
+    candidate oldest_bound(internal::kind_queue const& queue,
+                           kind_id kind) const;
+    candidate oldest_unbound(internal::kind_queue const& queue) const;
+    void drop_overdue(internal::service_state& service, instant now);
+    void take(std::uint32_t ticket,
+              internal::service_state& service,
+              internal::share_account& account,
+              instant now);
+
+    template <class Pick>
+    bool next_of_service(internal::service_state& service,
+                         Pick& pick,
+                         instant now,
+                         admitted& out);
+    template <class Pick>
+    std::optional<admitted>
+    next_of_kind(internal::kind_queue const& queue, kind_id kind, Pick& pick);
+
+    std::vector<internal::service_state> services_;
+    std::vector<internal::server_state> servers_;
+    std::unordered_map<service_id, std::uint32_t> service_index_;
+    std::unordered_map<server_id, std::uint32_t> server_index_;
+    std::vector<internal::waiting_request> requests_; ///< By ticket.
+    internal::deadline_wheel wheel_;
+    std::vector<std::uint32_t> ready_; ///< Services where next may succeed.
+    std::vector<dropped_request> dropped_;
+    double balancer_share_ = 1;
+    std::uint64_t sequence_ = 0;
+    std::size_t waiting_ = 0;
 };
 
+template <class Pick>
+std::optional<admitted> admission::next_of_kind(
+    internal::kind_queue const& queue, kind_id kind, Pick& pick)
+{
+    auto const bound = oldest_bound(queue, kind);
+    auto const unbound = oldest_unbound(queue);
+    if (unbound.sequence < bound.sequence)
+    {
+        auto const& request = requests_[unbound.ticket].request;
+        if (std::optional<server_id> const server = pick(request))
+        {
+            return admitted{request.ticket, *server, kind};
+        }
+    }
+    if (bound.ticket == internal::no_index)
+    {
+        return std::nullopt;
+    }
+    auto const& request = requests_[bound.ticket].request;
+    return admitted{request.ticket, *request.bound, kind};
+}
+
+template <class Pick>
+bool admission::next_of_service(internal::service_state& service,
+                                Pick& pick,
+                                instant now,
+                                admitted& out)
+{
+    drop_overdue(service, now);
+    if (!service.limit.has_room(service.in_progress))
+    {
+        return false;
+    }
+    mark_candidates(service);
+    while (auto* account = internal::next_by_share(service.accounts))
+    {
+        auto const kind = kind_of(service, *account);
+        auto const found = next_of_kind(service.queues[kind.value], kind, pick);
+        if (found)
+        {
+            take(found->ticket.value, service, *account, now);
+            out = *found;
+            return true;
+        }
+        account->candidate = false;
+    }
+    return false;
+}
+
+template <class Pick>
+bool admission::next(Pick&& pick, instant now, admitted& out)
+{
+    while (!ready_.empty())
+    {
+        auto& service = services_[ready_.back()];
+        if (service.waiting > 0 && next_of_service(service, pick, now, out))
+        {
+            return true;
+        }
+        service.ready = false;
+        ready_.pop_back();
+    }
+    return false;
+}
+
 } // namespace dotterelrouter
--- a/dotterelrouter/health/health.hpp
+++ b/dotterelrouter/health/health.hpp
@@ -7,16 +7,19 @@
 //
 // Outcomes of real work decide. Other members' opinions count as a few
 // outcomes; load reports only break ties. When most servers of a service
-// look dead, the view is distrusted and none is left out.
+// look dead, the view is distrusted: none is left out, but those that do not
+// answer get little work.
 // Not synchronised.
 #pragma once
 
 #include "dotterelrouter/config/config.hpp"
 #include "dotterelrouter/core/core.hpp"
+#include "dotterelrouter/health/internal/server_state.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace dotterelrouter
@@ -68,7 +71,8 @@
     [[nodiscard]] bool usable(server_id server) const;
 
     /// Share of its capacity a server may get, in (0, 1]: small for a cold
-    /// or restored one, rising to 1 with time and good answers.
+    /// or restored one, rising to 1 with time; small for one that looks dead
+    /// but is used as the view is distrusted.
     [[nodiscard]] double weight(server_id server, instant now) const;
 
     /// Reported load over slots, for breaking ties; 0 if none is recent.
@@ -81,6 +85,26 @@
 
     /// When on_timer is due; none: nothing is ejected.
     [[nodiscard]] std::optional<steady_time> next_wake() const;
+
+private:
+    internal::server_health* find(server_id server);
+    internal::server_health const* find(server_id server) const;
+
+    void judge(internal::server_health& server, instant now, effects& out);
+    void eject(internal::server_health& server, instant now, effects& out);
+    void restore(internal::server_health& server, instant now, effects& out);
+    void set_suspected(internal::server_health& server, bool suspected);
+    void say(server_id server, bool usable);
+    void recount();
+
+    member_id self_;
+    bool configured_ = false;
+    std::vector<internal::server_health> servers_;
+    std::vector<internal::service_health> services_;
+    std::unordered_map<server_id, std::uint32_t> server_index_;
+    std::vector<std::uint32_t> ejected_; ///< Indexes into servers_.
+    std::vector<server_opinion> opinions_;
+    std::uint32_t opinion_sequence_ = 0;
 };
 
 } // namespace dotterelrouter
