--- /dev/null
+++ b/measure/internal/scenario.cpp
@@ -0,0 +1,107 @@
+#include "measure/internal/scenario.hpp"
+
+namespace dotterelrouter::measure
+{
+
+using namespace std::chrono_literals;
+
+deployment dublin()
+{
+    return {.name = "dublin",
+            .balancers = 7,
+            .slots = 3,
+            .services = {{"catalogue", 14}, {"gallery", 4}},
+            .kinds = {{.name = "fitting",
+                       .service = "catalogue",
+                       .urgency = 0,
+                       .share_percent = 40,
+                       .service_time = 15ms,
+                       .pause = 500ms,
+                       .requests_per_flow = 8,
+                       .deadline = 2s,
+                       .part_of_service = 0.3},
+                      {.name = "lookup",
+                       .service = "catalogue",
+                       .urgency = 1,
+                       .share_percent = 60,
+                       .service_time = 8ms,
+                       .pause = 0s,
+                       .requests_per_flow = 1,
+                       .deadline = 1s,
+                       .part_of_service = 0.7},
+                      {.name = "lookbook",
+                       .service = "gallery",
+                       .urgency = 2,
+                       .share_percent = 100,
+                       .service_time = 40ms,
+                       .pause = 20ms,
+                       .requests_per_flow = 40,
+                       .deadline = 5s,
+                       .part_of_service = 1}}};
+}
+
+deployment quetzaltenango()
+{
+    return {.name = "quetzaltenango",
+            .balancers = 7,
+            .slots = 2,
+            .services = {{"settlement", 14}, {"statements", 4}},
+            .kinds = {{.name = "confirmation",
+                       .service = "settlement",
+                       .urgency = 0,
+                       .share_percent = 60,
+                       .service_time = 12ms,
+                       .pause = 300ms,
+                       .requests_per_flow = 20,
+                       .deadline = 2s,
+                       .part_of_service = 0.5},
+                      {.name = "position",
+                       .service = "settlement",
+                       .urgency = 1,
+                       .share_percent = 40,
+                       .service_time = 8ms,
+                       .pause = 300ms,
+                       .requests_per_flow = 10,
+                       .deadline = 1s,
+                       .part_of_service = 0.5},
+                      {.name = "statement",
+                       .service = "statements",
+                       .urgency = 2,
+                       .share_percent = 100,
+                       .service_time = 60ms,
+                       .pause = 20ms,
+                       .requests_per_flow = 40,
+                       .deadline = 5s,
+                       .part_of_service = 1}}};
+}
+
+std::shared_ptr<configuration const> configure(deployment const& from)
+{
+    configuration_builder builder;
+    builder.epoch(epoch_number{1});
+    std::uint16_t port = 1;
+    for (auto const& service : from.services)
+    {
+        for (std::uint16_t number = 0; number < service.servers; ++number)
+        {
+            builder.server({.name = service.name + std::to_string(number),
+                            .service = service.name,
+                            .where = {1, port++},
+                            .data_centre = "a",
+                            .slots = from.slots,
+                            .connections = from.connections});
+        }
+    }
+    for (auto const& kind : from.kinds)
+    {
+        builder.kind({.id = {},
+                      .name = kind.name,
+                      .urgency = kind.urgency,
+                      .share_percent = kind.share_percent});
+        builder.address(
+            {.where = {2, port++}, .service = kind.service, .kind = kind.name});
+    }
+    return builder.build();
+}
+
+} // namespace dotterelrouter::measure
