--- a/dotterelrouter/balancer/internal/request_pool.hpp
+++ b/dotterelrouter/balancer/internal/request_pool.hpp
@@ -78,6 +78,7 @@
     part_set parts;
     steady_time accepted;
     steady_time sent;
+    steady_time progress;         ///< When it was sent or a part came.
     steady_time expires;          ///< When the balancer gives up on it.
     std::uint32_t generation = 0; ///< Tells users of one ticket apart.
     bool in_use = false;
