Place flows by the work of open flows, single requests by what was sent

Cause: requests in progress at one balancer are 0 or 1 a server, so the choice for a flow that stays was by chance: imbalance of the settlement servers was that of random placement. And reported load broke nearly every tie of single requests: with every other server reporting 0, it ruled.

Change: flow_work counts open flows by kind and learns the work of each kind. A flow that stays gets the first server whose expected work is within 1.25 of the mean, before it is queued, bound to that server. A server that refuses work while it reports free slots is not believed for 30 s.

--- a/dotterelrouter/admission/admission.cpp
+++ b/dotterelrouter/admission/admission.cpp
@@ -103,8 +103,7 @@
         account.cost = internal::latency_tracker{}.mean();
     }
     add_servers(declared, index);
-    set_limits(state,
-               state.slots * balancer_share_ * first_service_factor);
+    set_limits(state, state.slots * balancer_share_ * first_service_factor);
 }
 
 void admission::keep_learned(admission& old)
--- a/dotterelrouter/health/health.cpp
+++ b/dotterelrouter/health/health.cpp
@@ -33,6 +33,9 @@
 constexpr double coldest_weight = 0.2;
 constexpr double distrusted_weight = 0.1;
 constexpr duration report_counts_for = std::chrono::seconds{1};
+constexpr duration contradiction_counts_for = std::chrono::seconds{30};
+/// Load of a server whose reports tell nothing.
+constexpr double unknown_load = 0.7;
 
 constexpr std::size_t most_opinions_kept = 8;
 constexpr std::size_t most_opinions_spread = 64;
@@ -193,6 +196,7 @@
         break;
     case try_outcome::shed:
         server->suspicion += points_per_shed;
+        server->last_shed = now.steady;
         break;
     case try_outcome::refused:
     case try_outcome::cancelled:
@@ -225,6 +229,11 @@
     {
         server->report = report;
         server->reported = now.steady;
+        if (server->last_shed == now.steady &&
+            report.busy_slots < server->slots)
+        {
+            server->contradicted = now.steady;
+        }
     }
 }
 
@@ -364,13 +373,13 @@
 {
     auto const* server = find(id);
     if (server == nullptr ||
-        !is_recent(server->reported, now, report_counts_for))
+        !is_recent(server->reported, now, report_counts_for) ||
+        is_recent(server->contradicted, now, contradiction_counts_for))
     {
-        return 0;
+        return unknown_load;
     }
-    return static_cast<double>(server->report.busy_slots +
-                               server->report.queued) /
-           server->slots;
+    auto const work = server->report.busy_slots + server->report.queued;
+    return std::min(1.0, static_cast<double>(work) / server->slots);
 }
 
 std::span<server_opinion const> health::opinions(std::size_t limit) const
--- a/dotterelrouter/health/health.hpp
+++ b/dotterelrouter/health/health.hpp
@@ -55,7 +55,10 @@
     /// The answer to a probe, or its absence. Weighs less than real work.
     void on_probe(server_id server, bool answered, instant now, effects& out);
 
-    /// The load a server reports of itself; it may lag or be wrong.
+    /// The load a server reports of itself; it may lag or be wrong. For one
+    /// that came with an answer, call on_outcome first, at the same time: a
+    /// server that refuses work while it reports free slots is not believed
+    /// for a while.
     void on_load_report(server_id server, load_report report, instant now);
 
     /// What another member thinks of a server.
@@ -75,7 +78,8 @@
     /// but is used as the view is distrusted.
     [[nodiscard]] double weight(server_id server, instant now) const;
 
-    /// Reported load over slots, for breaking ties; 0 if none is recent.
+    /// Reported load over slots, for breaking ties, from 0 to 1; a middle
+    /// value if none is recent or the server's reports are not believed.
     [[nodiscard]] double reported_load(server_id server, instant now) const;
 
     /// Own opinions to spread, those changed last first. Valid until the
--- a/dotterelrouter/health/internal/server_state.hpp
+++ b/dotterelrouter/health/internal/server_state.hpp
@@ -33,6 +33,9 @@
     std::optional<steady_time> warming_since; ///< None: warm.
     load_report report;
     std::optional<steady_time> reported;
+    std::optional<steady_time> last_shed;
+    /// It refused work while it reported free slots.
+    std::optional<steady_time> contradicted;
     bool suspected = false; ///< Counted among its service's suspects.
 };
 
--- a/dotterelrouter/routing/internal/choice.hpp
+++ b/dotterelrouter/routing/internal/choice.hpp
@@ -14,8 +14,9 @@
 namespace dotterelrouter
 {
 
-/// Which servers may be used, and how busy each is. `load`: work in
-/// progress over capacity; 1 is full. `weight`: share of its capacity that
+/// Which servers may be used, and how busy each is. `load`: work over
+/// capacity, in any one unit: that of the open flows for a flow that stays,
+/// that in progress for a single request. `weight`: share of its capacity that
 /// a server may use now, from 0 to 1 (slow start).
 template <class Loads>
 concept server_loads = requires(Loads const& loads, server_id server)
@@ -43,8 +44,6 @@
 /// A flow's server may be this much busier than the mean of its service,
 /// as a factor, before the next in order is taken.
 inline constexpr double load_bound_factor = 1.25;
-/// Slack of the bound, in load, so that an idle service does not deviate.
-inline constexpr double load_bound_slack = 0.1;
 
 namespace internal
 {
@@ -162,8 +161,7 @@
 std::optional<server_id>
 first_within_bound(service const& from, flow_key flow, Loads const& loads)
 {
-    auto const bound =
-        load_bound_factor * mean_load(from, loads) + load_bound_slack;
+    auto const bound = load_bound_factor * mean_load(from, loads);
     return first_choice(from,
                         flow,
                         [&](backend_server const& server)
--- a/dotterelrouter/routing/routing.hpp
+++ b/dotterelrouter/routing/routing.hpp
@@ -16,3 +16,4 @@
 #include "dotterelrouter/routing/internal/choice.hpp"
 #include "dotterelrouter/routing/internal/flow_length.hpp"
 #include "dotterelrouter/routing/internal/flow_table.hpp"
+#include "dotterelrouter/routing/internal/flow_work.hpp"
--- a/dotterelrouter/routing/routing_test.cpp
+++ b/dotterelrouter/routing/routing_test.cpp
@@ -249,5 +249,40 @@
     CHECK_TRUE(lengths.expected(kind) == flow_length::many);
 }
 
+TEST(choice, open_flows_count_by_the_work_their_kind_brings)
+{
+    flow_work work;
+    kind_id const busy{0};
+    kind_id const idle{1};
+    for (int flow = 0; flow < 4; ++flow)
+    {
+        work.on_opened(server_id{1}, busy);
+        work.on_opened(server_id{2}, idle);
+    }
+    auto now = start;
+    for (int request = 0; request < 2000; ++request)
+    {
+        now += 10ms;
+        work.on_work(busy, 20ms, now);
+    }
+    DOUBLES_EQUAL(2, work.expected(server_id{1}), 0.1);
+    CHECK_TRUE(work.expected(server_id{2}) < 0.1);
+    work.on_ended(server_id{1}, busy);
+    work.on_opened(server_id{3}, busy);
+    DOUBLES_EQUAL(0.5, work.expected(server_id{3}), 0.1);
+    work.on_ended(server_id{4}, busy);
+    DOUBLES_EQUAL(0, work.expected(server_id{4}), 0.01);
+}
+
+TEST(choice, work_sent_lately_is_forgotten)
+{
+    flow_work work;
+    work.on_work(kind_id{0}, 20ms, start);
+    work.on_sent(server_id{1}, kind_id{0}, start);
+    auto const at_once = work.recent(server_id{1}, start);
+    CHECK_TRUE(at_once > 0.05);
+    CHECK_TRUE(work.recent(server_id{1}, start + 1s) < at_once / 50);
+}
+
 } // namespace
 } // namespace dotterelrouter
