--- a/dotterelrouter/ownership/ownership_fleet_test.hpp
+++ b/dotterelrouter/ownership/ownership_fleet_test.hpp
@@ -100,7 +100,34 @@
 
 private:
     using request_id = std::uint64_t;
-    using record_set = std::map<std::uint16_t, std::set<request_id>>;
+
+    /// Request numbers, as bits.
+    class request_set
+    {
+    public:
+        /// False if it was there.
+        bool insert(request_id id)
+        {
+            bits_.resize(std::max<std::size_t>(bits_.size(), id + 1));
+            auto const added = !bits_[id];
+            bits_[id] = true;
+            return added;
+        }
+
+        void insert(request_set const& others)
+        {
+            bits_.resize(std::max(bits_.size(), others.bits_.size()));
+            for (std::size_t id = 0; id < others.bits_.size(); ++id)
+            {
+                bits_[id] = bits_[id] || others.bits_[id];
+            }
+        }
+
+    private:
+        std::vector<bool> bits_;
+    };
+
+    using record_set = std::map<std::uint16_t, request_set>;
 
     struct node
     {
@@ -488,13 +515,13 @@
     void take_records(node& one,
                       member_id from,
                       handover_order const& order,
-                      std::set<request_id> const& records)
+                      request_set const& records)
     {
         if (id_of(one) != order.to)
         {
             return;
         }
-        one.records[order.slot.value].insert(records.begin(), records.end());
+        one.records[order.slot.value].insert(records);
         slot_version const slot{order.slot, order.version};
         one.slots->on_handover_received(from, slot, order.held_since, at(one));
         send(one, {from, handover_accepted_message{slot}});
@@ -745,11 +772,11 @@
         auto const held = one.slots->right_to({slot}, at(one));
         auto const since = held.held_since + max_clock_skew;
         if (!held.held || wall_time{issued} < since ||
-            !one.records[slot].insert(id).second)
+            !one.records[slot].insert(id))
         {
             return;
         }
-        if (!executed_.insert(id).second)
+        if (!executed_.insert(id))
         {
             fail("a request ran twice on slot", slot);
         }
@@ -770,7 +797,7 @@
     std::uint64_t revision_ = 0;
     std::set<std::size_t> watching_;
     std::map<std::uint16_t, use> uses_;
-    std::set<request_id> executed_;
+    request_set executed_;
     request_id requests_ = 0;
     std::size_t slot_ticks_ = 0;
     std::size_t held_ticks_ = 0;
