Run a balancer process

The process binds the reducer to its ports: data packets, messages of other balancers, the platform's client, and admin pages (/metrics, /status, /timeline, /healthz) served on the same loop.

--- /dev/null
+++ b/dotterelrouter/runtime/status_page.cpp
@@ -0,0 +1,120 @@
+#include "dotterelrouter/runtime/internal/status_page.hpp"
+
+#include "dotterelrouter/runtime/internal/event_loop.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+
+namespace dotterelrouter::internal
+{
+
+namespace
+{
+
+using json = nlohmann::ordered_json;
+
+json to_json_object(balancer_status const& status)
+{
+    json object;
+    object["incarnation"] = status.self.incarnation;
+    object["epoch"] = status.epoch.value;
+    object["members"] = status.members;
+    object["slots"] = status.slots;
+    object["owned_slots"] = status.owned_slots;
+    object["held_rights"] = status.held_rights;
+    object["requests"] = status.requests;
+    object["flows"] = status.flows;
+    object["records"] = status.records;
+    object["leaving"] = status.leaving;
+    object["platform_answers"] = status.platform_answers;
+    return object;
+}
+
+json to_json_object(work_kind const& kind)
+{
+    using std::chrono::milliseconds;
+    auto const deadline =
+        std::chrono::duration_cast<milliseconds>(kind.default_deadline);
+    json object;
+    object["name"] = kind.name;
+    object["urgency"] = kind.urgency;
+    object["share_percent"] = kind.share_percent;
+    object["idempotent"] = kind.idempotent;
+    object["default_deadline_ms"] = deadline.count();
+    return object;
+}
+
+json to_json_object(backend_server const& server)
+{
+    json object;
+    object["name"] = server.name;
+    object["where"] = to_string(server.where);
+    object["slots"] = server.slots;
+    object["connections"] = server.connections;
+    object["leaving"] = server.leaving;
+    return object;
+}
+
+json to_json_object(service const& declared)
+{
+    json object;
+    object["name"] = declared.name;
+    object["servers"] = json::array();
+    for (auto const& server : declared.all())
+    {
+        object["servers"].push_back(to_json_object(server));
+    }
+    return object;
+}
+
+json to_json_object(service_address const& address, configuration const& whole)
+{
+    auto const* const service = whole.find_service(address.service);
+    json object;
+    object["where"] = to_string(address.where);
+    object["service"] = service == nullptr ? "" : service->name;
+    object["kind"] = whole.kind(address.kind).name;
+    return object;
+}
+
+json to_json_object(configuration const& whole)
+{
+    json object;
+    object["epoch"] = whole.epoch().value;
+    object["kinds"] = json::array();
+    for (auto const& kind : whole.kinds())
+    {
+        object["kinds"].push_back(to_json_object(kind));
+    }
+    object["services"] = json::array();
+    for (auto const& one : whole.services())
+    {
+        object["services"].push_back(to_json_object(one));
+    }
+    object["addresses"] = json::array();
+    for (auto const& address : whole.addresses())
+    {
+        object["addresses"].push_back(to_json_object(address, whole));
+    }
+    return object;
+}
+
+} // namespace
+
+std::string status_page(balancer_process_settings const& process,
+                        balancer_status const& status,
+                        configuration const* in_force)
+{
+    json page;
+    page["control"] = to_string(process.control);
+    page["data"] = to_string(process.data);
+    page["data_centre"] = process.data_centre;
+    page["balancer"] = to_json_object(status);
+    page["configuration"] =
+        in_force == nullptr ? json{} : to_json_object(*in_force);
+    constexpr int no_indent = -1;
+    return page.dump(no_indent, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace dotterelrouter::internal
