--- a/dotterelrouter/runtime/balancer_process_test.cpp
+++ b/dotterelrouter/runtime/balancer_process_test.cpp
@@ -132,9 +132,10 @@
         ::setsockopt(
             descriptor_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
         auto const address = to_address(any_port);
-        ::bind(descriptor_,
-               reinterpret_cast<sockaddr const*>(&address),
-               sizeof(address));
+        CHECK_EQUAL(0,
+                    ::bind(descriptor_,
+                           reinterpret_cast<sockaddr const*>(&address),
+                           sizeof(address)));
     }
 
     test_socket(test_socket const&) = delete;
@@ -148,9 +149,10 @@
     void connect(endpoint to) const
     {
         auto const address = to_address(to);
-        ::connect(descriptor_,
-                  reinterpret_cast<sockaddr const*>(&address),
-                  sizeof(address));
+        CHECK_EQUAL(0,
+                    ::connect(descriptor_,
+                              reinterpret_cast<sockaddr const*>(&address),
+                              sizeof(address)));
     }
 
     void send(byte_view bytes) const
--- a/dotterelrouter/runtime/internal/balancer_process.hpp
+++ b/dotterelrouter/runtime/internal/balancer_process.hpp
@@ -88,7 +88,7 @@
         std::visit(
             [this, &received](auto const& one)
             {
-                take(one, received.from);
+                this->take(one, received.from);
             },
             *packet);
     }
