Lend out within a limit, serve shares beyond it; hold refusing servers

Cause: one limit a service for all kinds.

Change: the limit holds for what is lent out; a kind within its share may go up to a fixed bound beyond it. Credits grow with what the service could do while nothing waits, and with what is sent while something does. A request costs its time without queues. A refusal holds its server for a quarter of a request's time, and the request waits in front; a kind within its share needs no retry budget, as each try is paid from the share. The service's limit shrinks once 5 percent of tries are refused.

--- a/dotterelrouter/admission/admission.cpp
+++ b/dotterelrouter/admission/admission.cpp
@@ -28,6 +28,14 @@
 constexpr double least_service_factor = 1.0;
 constexpr double first_service_factor = 1.5;
 constexpr double most_service_factor = 2.0;
+/// Bound of what kinds within their shares may have in progress, likewise.
+constexpr double bound_factor = 3.0;
+/// A service is overloaded if more than this share of tries is refused.
+constexpr double most_refused_share = 0.05;
+constexpr double refused_rate = 0.02;
+/// For how long a server that refused work is left alone, as a part of the
+/// time a request takes.
+constexpr double hold_part = 0.25;
 constexpr double slowness_rate = 0.1;
 constexpr double slow_factor = 2.0;
 constexpr double percent = 100;
@@ -41,6 +49,19 @@
     return found == index.end() ? no_index : found->second;
 }
 
+/// Retries go in front.
+void add_to(request_list& list,
+            std::span<internal::waiting_request> requests,
+            std::uint32_t ticket)
+{
+    if (requests[ticket].request.retry)
+    {
+        list.push_front(requests, ticket);
+        return;
+    }
+    list.push_back(requests, ticket);
+}
+
 } // namespace
 
 service_state* admission::find_service(service_id id)
@@ -67,6 +88,8 @@
     service.limit.set_bounds(part * least_service_factor,
                              1 + part * most_service_factor);
     service.limit.set(start);
+    service.bound =
+        1 + static_cast<std::uint32_t>(std::ceil(part * bound_factor));
 }
 
 void admission::add_servers(service const& declared, std::uint32_t index)
@@ -100,7 +123,7 @@
         auto& account = state.accounts.emplace_back();
         account.share = kind.share_percent / percent;
         account.urgency = kind.urgency;
-        account.cost = internal::latency_tracker{}.mean();
+        account.cost = internal::latency_tracker{}.base();
     }
     add_servers(declared, index);
     set_limits(state, state.slots * balancer_share_ * first_service_factor);
@@ -150,6 +173,7 @@
     old.service_index_.swap(service_index_);
     old.server_index_.swap(server_index_);
     balancer_share_ = balancer_share;
+    held_.clear();
     ready_.clear();
     wheel_.clear();
     for (auto const& service : declared.services())
@@ -221,11 +245,11 @@
         {
             queue.bound_servers.push_back(waiting.server);
         }
-        list.push_back(requests_, ticket);
+        add_to(list, requests_, ticket);
     }
     else
     {
-        queue.unbound.push_back(requests_, ticket);
+        add_to(queue.unbound, requests_, ticket);
     }
     wheel_.add(requests_, ticket);
     ++queue.length;
@@ -323,16 +347,20 @@
     auto& waiting = requests_[request.ticket.value];
     waiting.request = request;
     waiting.due = now.steady + left;
-    waiting.sequence = sequence_++;
+    waiting.sequence = request.retry ? --front_sequence_ : ++last_sequence_;
     link(request.ticket.value);
     return std::nullopt;
 }
 
 void admission::mark_candidates(service_state& service)
 {
+    auto const may_lend = service.limit.has_room(service.in_progress);
+    auto const may_send = service.in_progress < service.bound;
     for (std::size_t kind = 0; kind < service.queues.size(); ++kind)
     {
-        service.accounts[kind].candidate = service.queues[kind].length > 0;
+        auto& account = service.accounts[kind];
+        account.candidate = service.queues[kind].length > 0 &&
+                            (account.within_share() ? may_send : may_lend);
     }
 }
 
@@ -400,12 +428,19 @@
     unlink(ticket);
     auto& queue = service.queues[kind_of(service, account).value];
     queue.drained.on_taken(now.steady);
-    account.cost = queue.latency.mean();
-    internal::charge(service.accounts, account);
+    account.cost = queue.latency.base();
+    // While others wait, all that is done is sent from here.
+    auto const idle = service.waiting == 0 ? 1.0 : 0.0;
+    auto const capacity =
+        idle * service.slots * balancer_share_ *
+        static_cast<double>((now.steady - service.last_taken).count());
+    service.last_taken = now.steady;
+    internal::charge(service.accounts, account, capacity);
 }
 
 void admission::expired(instant now, std::vector<dropped_request>& out)
 {
+    release_held(now);
     wheel_.advance(requests_,
                    now.steady,
                    [&](std::uint32_t ticket)
@@ -439,6 +474,65 @@
     }
 }
 
+void admission::on_good_answer(server_state& server,
+                               kind_id kind,
+                               duration latency,
+                               instant now)
+{
+    auto& service = services_[server.service];
+    auto& tracker = service.queues[kind.value].latency;
+    auto const ratio = static_cast<double>(latency.count()) / tracker.mean();
+    tracker.add(latency);
+    server.held_until = now.steady;
+    server.slowness += slowness_rate * (ratio - server.slowness);
+    server.slowness > slow_factor ? server.limit.on_congestion(now.steady)
+                                  : server.limit.on_success(server.in_progress);
+    service.refused_share -= refused_rate * service.refused_share;
+    tracker.raised() ? service.limit.on_congestion(now.steady)
+                     : service.limit.on_success(service.in_progress);
+}
+
+void admission::on_refusal(server_state& server, kind_id kind, instant now)
+{
+    auto& service = services_[server.service];
+    server.limit.on_congestion(now.steady);
+    service.refused_share += refused_rate * (1 - service.refused_share);
+    if (service.refused_share > most_refused_share)
+    {
+        service.limit.on_congestion(now.steady);
+    }
+    auto const usual = service.queues[kind.value].latency.base();
+    hold(server, duration{static_cast<std::int64_t>(usual * hold_part)}, now);
+}
+
+/// Sends a server nothing until this time has passed or it has answered a
+/// request: it has no room, whoever filled it.
+void admission::hold(server_state& server, duration time, instant now)
+{
+    server.held_until = now.steady + time;
+    if (!server.held)
+    {
+        server.held = true;
+        held_.push_back(static_cast<std::uint32_t>(&server - servers_.data()));
+    }
+}
+
+void admission::release_held(instant now)
+{
+    std::erase_if(held_,
+                  [&](std::uint32_t index)
+                  {
+                      auto& server = servers_[index];
+                      if (now.steady < server.held_until)
+                      {
+                          return false;
+                      }
+                      server.held = false;
+                      mark_ready(server.service);
+                      return true;
+                  });
+}
+
 void admission::on_finished(server_id id,
                             kind_id kind,
                             try_outcome outcome,
@@ -450,34 +544,36 @@
     {
         return;
     }
-    auto& service = services_[server->service];
-    if (outcome == try_outcome::ok && kind.value < service.queues.size())
+    if (kind.value < server->bound.size())
     {
-        auto& tracker = service.queues[kind.value].latency;
-        auto const ratio =
-            static_cast<double>(latency.count()) / tracker.mean();
-        tracker.add(latency);
-        server->slowness += slowness_rate * (ratio - server->slowness);
-        server->slowness > slow_factor
-            ? server->limit.on_congestion(now.steady)
-            : server->limit.on_success(server->in_progress);
-        tracker.raised() ? service.limit.on_congestion(now.steady)
-                         : service.limit.on_success(service.in_progress);
-    }
-    else if (outcome == try_outcome::shed || outcome == try_outcome::timed_out)
-    {
-        server->limit.on_congestion(now.steady);
-        service.limit.on_congestion(now.steady);
+        if (outcome == try_outcome::ok)
+        {
+            on_good_answer(*server, kind, latency, now);
+        }
+        else if (outcome == try_outcome::shed)
+        {
+            on_refusal(*server, kind, now);
+        }
+        else if (outcome == try_outcome::timed_out)
+        {
+            server->limit.on_congestion(now.steady);
+        }
     }
     --server->in_progress;
-    --service.in_progress;
+    --services_[server->service].in_progress;
     mark_ready(server->service);
 }
 
-bool admission::may_retry(service_id id)
+bool admission::may_retry(service_id id, std::optional<kind_id> kind)
 {
     auto* service = find_service(id);
-    return service != nullptr && service->retries.spend();
+    if (service == nullptr)
+    {
+        return false;
+    }
+    auto const within_share = kind && kind->value < service->accounts.size() &&
+                              service->accounts[kind->value].within_share();
+    return within_share || service->retries.spend();
 }
 
 bool admission::has_room(server_id id) const
@@ -513,7 +609,12 @@
     {
         return std::nullopt;
     }
-    return now.steady + internal::deadline_wheel::tick;
+    auto wake = now.steady + internal::deadline_wheel::tick;
+    for (auto const index : held_)
+    {
+        wake = std::min(wake, servers_[index].held_until);
+    }
+    return wake;
 }
 
 } // namespace dotterelrouter
--- a/dotterelrouter/admission/admission.hpp
+++ b/dotterelrouter/admission/admission.hpp
@@ -39,7 +39,9 @@
 /// Limits: one of requests in progress per server and one per service, both
 /// for this balancer; they shrink with refusals and rising latency and grow
 /// while full and answered well. Order: each kind has its share of what a
-/// service can do; what the others leave unused goes to the most urgent.
+/// service can do; what the others leave unused goes to the most urgent. The
+/// limit of the service holds for what is lent out; a kind within its share
+/// may go beyond it, up to a fixed bound.
 class admission
 {
 public:
@@ -86,8 +88,10 @@
                      instant now);
 
     /// True if a request may be tried once more; spends from the service's
-    /// budget, which is a share of its first tries.
-    [[nodiscard]] bool may_retry(service_id service);
+    /// budget, which is a share of its first tries. With the kind told, one
+    /// within its share may retry without: it pays from its share.
+    [[nodiscard]] bool may_retry(service_id service,
+                                 std::optional<kind_id> kind = std::nullopt);
 
     /// True if the server may get one more request now.
     [[nodiscard]] bool has_room(server_id server) const;
@@ -102,6 +106,9 @@
     [[nodiscard]] std::optional<steady_time> next_wake(instant now) const;
 
 private:
+    /// Retries count down from here, first tries up.
+    static constexpr std::uint64_t first_sequence = std::uint64_t{1} << 62U;
+
     struct candidate
     {
         std::uint32_t ticket = internal::no_index;
@@ -120,6 +127,13 @@
     void unlink(std::uint32_t ticket);
     void drop(std::uint32_t ticket, reason why);
     void mark_ready(std::uint32_t service);
+    void hold(internal::server_state& server, duration time, instant now);
+    void release_held(instant now);
+    void on_good_answer(internal::server_state& server,
+                        kind_id kind,
+                        duration latency,
+                        instant now);
+    void on_refusal(internal::server_state& server, kind_id kind, instant now);
     [[nodiscard]] bool
     would_wait_too_long(internal::service_state const& service,
                         kind_id kind,
@@ -155,7 +169,9 @@
     std::vector<std::uint32_t> ready_; ///< Services where next may succeed.
     std::vector<dropped_request> dropped_;
     double balancer_share_ = 1;
-    std::uint64_t sequence_ = 0;
+    std::vector<std::uint32_t> held_; ///< Servers that refused work.
+    std::uint64_t last_sequence_ = first_sequence;
+    std::uint64_t front_sequence_ = first_sequence;
     std::size_t waiting_ = 0;
 };
 
@@ -188,10 +204,6 @@
                                 admitted& out)
 {
     drop_overdue(service, now);
-    if (!service.limit.has_room(service.in_progress))
-    {
-        return false;
-    }
     mark_candidates(service);
     while (auto* account = internal::next_by_share(service.accounts))
     {
@@ -211,6 +223,7 @@
 template <class Pick>
 bool admission::next(Pick&& pick, instant now, admitted& out)
 {
+    release_held(now);
     while (!ready_.empty())
     {
         auto& service = services_[ready_.back()];
--- a/dotterelrouter/admission/internal/latency_tracker.hpp
+++ b/dotterelrouter/admission/internal/latency_tracker.hpp
@@ -34,6 +34,12 @@
         return samples_ == 0 ? unknown_latency : mean_;
     }
 
+    /// Mean without queues, in nanoseconds.
+    [[nodiscard]] double base() const
+    {
+        return samples_ == 0 ? unknown_latency : base_;
+    }
+
     /// True if the mean has risen far above that without queues.
     [[nodiscard]] bool raised() const
     {
@@ -44,7 +50,7 @@
     static constexpr double unknown_latency = 10e6;
     static constexpr int settling_samples = 50;
     static constexpr double mean_rate = 0.02;
-    static constexpr double base_drift = 1.0002;
+    static constexpr double base_drift = 1.00002;
     static constexpr double raised_factor = 2.0;
 
     double mean_ = 0;
--- a/dotterelrouter/admission/internal/requests.hpp
+++ b/dotterelrouter/admission/internal/requests.hpp
@@ -22,7 +22,9 @@
     /// The server of its flow; none: any server of the service will do.
     std::optional<server_id> bound;
     wall_time deadline; ///< After this no server may start it.
-    bool retry = false; ///< Not its first try; earns no retry budget.
+    /// Not its first try: it waits in front of the others of its kind and
+    /// earns no retry budget.
+    bool retry = false;
 };
 
 /// A request that may be sent now.
--- a/dotterelrouter/admission/internal/retry_budget.hpp
+++ b/dotterelrouter/admission/internal/retry_budget.hpp
@@ -28,7 +28,7 @@
     }
 
 private:
-    static constexpr double earned_per_try = 0.1;
+    static constexpr double earned_per_try = 0.2;
     static constexpr double most_tokens = 20;
 
     double tokens_ = most_tokens;
--- a/dotterelrouter/admission/internal/service_queues.hpp
+++ b/dotterelrouter/admission/internal/service_queues.hpp
@@ -26,10 +26,12 @@
     concurrency_limit limit;
     double slowness = 1; ///< Latency over that of the same kind elsewhere.
     std::vector<request_list> bound; ///< By kind.
+    bool held = false;               ///< It has just refused work.
+    steady_time held_until;
 
     [[nodiscard]] bool has_room() const
     {
-        return limit.has_room(in_progress);
+        return !held && limit.has_room(in_progress);
     }
 };
 
@@ -51,10 +53,13 @@
     std::uint32_t slots = 0; ///< Over all its servers.
     std::uint32_t in_progress = 0;
     concurrency_limit limit;
+    std::uint32_t bound = 1; ///< Most in progress.
+    steady_time last_taken;
+    double refused_share = 0; ///< Of the latest answers, refusals for load.
     std::uint32_t waiting = 0;
-    bool ready = false; ///< Listed among the services to look at.
     retry_budget retries;
-    std::vector<kind_queue> queues;      ///< By kind.
+    bool ready = false;             ///< Listed among the services to look at.
+    std::vector<kind_queue> queues; ///< By kind.
     std::vector<share_account> accounts; ///< By kind.
 };
 
--- a/dotterelrouter/admission/internal/share_order.hpp
+++ b/dotterelrouter/admission/internal/share_order.hpp
@@ -55,20 +55,25 @@
     return best;
 }
 
-/// One request of `served` is sent: each kind earns its share of the cost,
+/// One request of `served` is sent: each kind earns its share of what could
+/// be done since the last one (`capacity`; 0 while others wait) or of the
+/// cost, whichever is more,
 /// and the served one pays if it was within its share. What a kind does not
 /// use is lent out: its credit stays small.
-inline void charge(std::span<share_account> accounts, share_account& served)
+inline void charge(std::span<share_account> accounts,
+                   share_account& served,
+                   double capacity)
 {
-    constexpr double most_credit_in_requests = 3;
+    constexpr double most_credit_in_requests = 8;
     auto const cost = served.cost;
+    auto const done = std::max(cost, capacity);
     if (served.within_share())
     {
         served.credit -= cost;
     }
     for (auto& account : accounts)
     {
-        auto const earned = account.credit + account.share * cost;
+        auto const earned = account.credit + account.share * done;
         account.credit =
             std::min(earned, most_credit_in_requests * account.cost);
     }
--- a/dotterelrouter/admission/internal/waiting_list.hpp
+++ b/dotterelrouter/admission/internal/waiting_list.hpp
@@ -65,6 +65,13 @@
         last_ = ticket;
     }
 
+    void push_front(std::span<waiting_request> requests, std::uint32_t ticket)
+    {
+        link(requests, ticket) = {no_index, first_};
+        previous_of(requests, first_) = ticket;
+        first_ = ticket;
+    }
+
     void remove(std::span<waiting_request> requests, std::uint32_t ticket)
     {
         auto const links = link(requests, ticket);
--- a/measure/internal/all_knowing_policy.cpp
+++ b/measure/internal/all_knowing_policy.cpp
@@ -117,7 +117,7 @@
         auto const kind = static_cast<std::uint16_t>(account - accounts.data());
         if (send_one(kind_id{kind}, from, out))
         {
-            internal::charge(accounts, *account);
+            internal::charge(accounts, *account, 0);
             account->candidate = !queues_[kind].empty();
         }
         else
--- a/measure/internal/policies.hpp
+++ b/measure/internal/policies.hpp
@@ -79,6 +79,10 @@
 
 private:
     void send(instant now, std::vector<decision>& out);
+    void enqueue(offered const& asked,
+                 bool retry,
+                 instant now,
+                 std::vector<decision>& out);
 
     /// A request that waits, and what was chosen for a flow that stays.
     struct waiting_request
