--- a/dotterelrouter/platform/platform.hpp
+++ b/dotterelrouter/platform/platform.hpp
@@ -16,8 +16,6 @@
 #include "dotterelrouter/platform/internal/platform_calls.hpp"
 #include "dotterelrouter/platform/internal/store_protocol.hpp"
 
-#include <utility>
-
 namespace dotterelrouter
 {
 
@@ -38,7 +36,7 @@
 public:
     /// The loop and the sink must outlive the client.
     platform_client(platform_settings settings, event_base* loop, Sink& sink)
-        : calls_(std::move(settings), loop, &sink, &deliver_to)
+        : calls_(settings, loop, &sink, &deliver_to)
     {
     }
 
