Measure what idle balancers cost

idle_cost runs a fleet of the product's processes on threads of one program, with ZeroMQ between them and a platform that answers within.

--- a/measure/relay/instant_platform.hpp
+++ b/measure/relay/instant_platform.hpp
@@ -1,25 +1,30 @@
-// A platform within the process that answers at the loop's next turn, so
-// that a measurement needs no other process.
+// A platform within the process, shared by all balancers of it, so that a
+// measurement needs no other process. Answers at the loop's next turn.
 #pragma once
 
+#include "dotterelrouter/config/config.hpp"
 #include "dotterelrouter/platform/platform.hpp"
 
 #include <event2/event.h>
 
-#include <deque>
 #include <map>
-#include <span>
+#include <memory>
+#include <mutex>
 #include <utility>
 #include <vector>
 
 namespace dotterelrouter::measure
 {
 
-/// What the platform holds: one configuration and the VMs.
+/// What the platform holds. The configuration and the VMs are set before the
+/// balancers start; assignments are guarded by the mutex.
 struct platform_content
 {
     std::shared_ptr<configuration const> config;
     std::vector<vm_record> vms;
+    std::mutex mutex;
+    std::map<std::uint16_t, stored_assignment> assignments;
+    std::uint64_t revision = 0;
 };
 
 /// The content that every platform of this process serves.
@@ -29,6 +34,8 @@
     return content;
 }
 
+/// A watch of assignments is answered after watch_length with what has
+/// changed; other watches after it with the same.
 template <class Sink>
 class instant_platform
 {
@@ -42,88 +49,123 @@
 
     void carry_out(read_assignments const& asked)
     {
-        if (asked.watch)
-        {
-            later(event{platform_unavailable{}}, watch_length);
-            return;
-        }
-        stored_.clear();
-        for (auto const& [slot, value] : assignments_)
-        {
-            stored_.push_back(value);
-        }
-        later(event{assignments_read{stored_, true}}, at_once);
+        later(asked, asked.watch ? watch_length : at_once);
     }
 
     void carry_out(propose_assignment const& asked)
     {
-        auto& held = assignments_[asked.slot.value];
-        auto const accepted = held.revision == asked.expected;
-        if (accepted)
-        {
-            held = {asked.slot, {++revision_}, asked.value};
-        }
-        auto const status =
-            accepted ? store_status::done : store_status::conflict;
-        later(event{assignment_proposed{asked.slot, status}}, at_once);
+        later(asked, at_once);
     }
 
     void carry_out(read_manifest const& asked)
     {
-        later(event{manifest_read{{1}, manifest_of(*served_content().config)}},
-              asked.watch ? watch_length : at_once);
+        later(asked, asked.watch ? watch_length : at_once);
     }
 
     void carry_out(read_chunk const& asked)
     {
-        chunk_read answer{asked.hash, nullptr};
-        for (auto const& chunk : split(*served_content().config))
-        {
-            if (chunk->hash == asked.hash)
-            {
-                answer.value = chunk;
-            }
-        }
-        later(event{answer}, at_once);
+        later(asked, at_once);
     }
 
     void carry_out(restore_manifest const& /*asked*/)
     {
     }
 
-    void carry_out(read_vm_list const& /*asked*/)
+    void carry_out(read_vm_list const& asked)
     {
-        later(event{vm_list_read{served_content().vms}}, at_once);
+        later(asked, at_once);
     }
 
 private:
-    struct pending_event
+    template <class Effect>
+    struct pending_call
     {
         instant_platform& platform;
-        event happened;
+        Effect asked;
     };
 
     static constexpr timeval at_once{0, 0};
-    static constexpr timeval watch_length{30, 0};
+    static constexpr timeval watch_length{1, 0};
 
-    void later(event happened, timeval wait)
+    template <class Effect>
+    void later(Effect const& asked, timeval wait)
     {
-        auto* const pending = new pending_event{*this, std::move(happened)};
-        event_base_once(loop_, -1, EV_TIMEOUT, &fire, pending, &wait);
+        using call = pending_call<Effect>;
+        auto pending = std::make_unique<call>(call{*this, asked});
+        event_base_once(
+            loop_, -1, EV_TIMEOUT, &fire<Effect>, pending.release(), &wait);
     }
 
+    template <class Effect>
     static void fire(int /*fd*/, short /*what*/, void* argument)
     {
-        std::unique_ptr<pending_event> const pending{
-            static_cast<pending_event*>(argument)};
-        pending->platform.sink_.deliver(pending->happened);
+        std::unique_ptr<pending_call<Effect>> const pending{
+            static_cast<pending_call<Effect>*>(argument)};
+        pending->platform.answer(pending->asked);
+    }
+
+    void answer(read_assignments const& asked)
+    {
+        auto& content = served_content();
+        stored_.clear();
+        {
+            std::lock_guard const lock{content.mutex};
+            for (auto const& [slot, value] : content.assignments)
+            {
+                if (!asked.watch || value.revision.value > seen_)
+                {
+                    stored_.push_back(value);
+                }
+            }
+            seen_ = content.revision;
+        }
+        sink_.deliver(event{assignments_read{stored_, !asked.watch}});
+    }
+
+    void answer(propose_assignment const& asked)
+    {
+        auto& content = served_content();
+        auto status = store_status::conflict;
+        {
+            std::lock_guard const lock{content.mutex};
+            auto& held = content.assignments[asked.slot.value];
+            if (held.revision == asked.expected)
+            {
+                held = {asked.slot, {++content.revision}, asked.value};
+                status = store_status::done;
+            }
+        }
+        sink_.deliver(event{assignment_proposed{asked.slot, status}});
+    }
+
+    void answer(read_manifest const& /*asked*/)
+    {
+        auto const value = manifest_of(*served_content().config);
+        sink_.deliver(event{manifest_read{{1}, value}});
+    }
+
+    void answer(read_chunk const& asked)
+    {
+        chunk_read found{asked.hash, nullptr};
+        for (auto const& chunk : split(*served_content().config))
+        {
+            if (chunk->hash == asked.hash)
+            {
+                found.value = chunk;
+            }
+        }
+        sink_.deliver(event{found});
+    }
+
+    void answer(read_vm_list const& /*asked*/)
+    {
+        sink_.deliver(event{vm_list_read{served_content().vms}});
     }
 
     Sink& sink_;
     event_base* loop_;
-    std::map<std::uint16_t, stored_assignment> assignments_;
     std::vector<stored_assignment> stored_;
-    std::uint64_t revision_ = 0;
+    std::uint64_t seen_ = 0;
 };
 
 } // namespace dotterelrouter::measure
