Measure the whole balancer in simulated time

figures has a policy 'balancer': the reducers of all balancers, each owning its slots, fed with the packets of the run. 'product' stays: the decisions by themselves, where a change of policy is tried first.

--- a/measure/figures.cpp
+++ b/measure/figures.cpp
@@ -182,6 +182,10 @@
         {
             measure_all<product_policy>(system, seed);
         }
+        if (policy.empty() || policy == balancer_policy::name)
+        {
+            measure_all<balancer_policy>(system, seed);
+        }
         if (policy.empty() || policy == naive_policy::name)
         {
             measure_all<naive_policy>(system, seed);
--- a/measure/hot_path.cpp
+++ b/measure/hot_path.cpp
@@ -60,7 +60,7 @@
 
 void find_known_flow(benchmark::State& state)
 {
-    flow_table table(table_slots, 4 * open_flows);
+    flow_table table(table_slots, std::size_t{4} * open_flows);
     fill(table, open_flows);
     std::uint32_t number = 0;
     auto const before = allocations();
--- a/measure/internal/policies.hpp
+++ b/measure/internal/policies.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "dotterelrouter/admission/admission.hpp"
+#include "dotterelrouter/balancer/balancer.hpp"
 #include "dotterelrouter/health/health.hpp"
 #include "dotterelrouter/routing/routing.hpp"
 #include "measure/internal/scenario.hpp"
@@ -61,7 +62,50 @@
     state.on_flow_ended(asked, std::uint16_t{}, now);
 };
 
-/// The product's decisions, one balancer of several.
+/// What ships: the reducers of all balancers. Each owns its part of the
+/// slots from the start and hears nothing of the others.
+class balancer_policy
+{
+public:
+    static constexpr std::string_view name = "balancer";
+
+    balancer_policy(deployment const& system,
+                    configuration const& declared,
+                    std::uint64_t seed);
+
+    void
+    on_request(offered const& asked, instant now, std::vector<decision>& out);
+    void
+    on_answer(ended const& answer, instant now, std::vector<decision>& out);
+    void on_tick(instant now, std::vector<decision>& out);
+    void
+    on_flow_ended(offered const& last, std::uint16_t requests, instant now);
+
+private:
+    struct member
+    {
+        balancer state;
+        std::optional<steady_time> wake;
+    };
+
+    void start(std::size_t number, configuration const& declared);
+    void reduce(member& at,
+                event const& happened,
+                instant now,
+                std::vector<decision>& out);
+    void carry_out(member& at, std::vector<decision>& out);
+    member& owner(offered const& asked);
+
+    std::vector<member> members_;
+    std::map<endpoint, server_id> servers_;
+    /// By request of the simulation: number and try at the balancer.
+    std::vector<request_packet> sent_;
+    effects effects_;
+    std::uint64_t requests_ = 0;
+};
+
+/// The decisions of routing, admission and health by themselves, for one
+/// balancer of several.
 class product_balancer
 {
 public:
@@ -196,6 +240,7 @@
 };
 
 static_assert(policy<product_policy>);
+static_assert(policy<balancer_policy>);
 static_assert(policy<naive_policy>);
 static_assert(policy<all_knowing_policy>);
 
