--- a/dotterelrouter/runtime/internal/udp_batch.hpp
+++ b/dotterelrouter/runtime/internal/udp_batch.hpp
@@ -38,10 +38,11 @@
         return headers_.size();
     }
 
-    /// Makes the first `count` entries ready for recvmmsg.
-    std::span<mmsghdr> for_receiving()
+    /// Makes all entries ready for recvmmsg, which filled the first `used`
+    /// of them the last time.
+    std::span<mmsghdr> for_receiving(std::size_t used)
     {
-        for (std::size_t i = 0; i < capacity(); ++i)
+        for (std::size_t i = 0; i < used; ++i)
         {
             vectors_[i].iov_len = datagram_size_;
             headers_[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
