--- a/dotterelrouter/balancer/internal/request_arrival_impl.hpp
+++ b/dotterelrouter/balancer/internal/request_arrival_impl.hpp
@@ -155,14 +155,14 @@
     {
         return decision{idempotent ? route::serve : route::hold};
     }
-    auto const owner = at.slots.owner_of(slot);
-    if (owner && packet.hops < settings_.max_hops &&
-        at.members.reachable(*owner))
+    auto const* next = next_hop(slot, at);
+    if (next != nullptr && packet.hops < settings_.max_hops)
     {
-        if (auto const* record = at.members.find(*owner))
-        {
-            return decision{route::pass, reason::not_owner, record->data};
-        }
+        return decision{route::pass, reason::not_owner, next->data};
+    }
+    if (newly_started(at.now))
+    {
+        return decision{route::hold};
     }
     if (idempotent)
     {
@@ -171,6 +171,31 @@
     return decision{route::refuse, reason::owner_unreachable};
 }
 
+template <class Rules>
+member_record const* request_path<Rules>::next_hop(slot_id slot,
+                                                   context const& at) const
+{
+    auto const owner = at.slots.owner_of(slot);
+    if (owner && at.members.reachable(*owner))
+    {
+        return at.members.find(*owner);
+    }
+    if (!newly_started(at.now))
+    {
+        return nullptr;
+    }
+    // Whoever has been here for longer may know the owner.
+    for (auto const& member : at.members.members())
+    {
+        if (member.state == member_state::alive &&
+            at.members.reachable(member.id))
+        {
+            return at.members.find(member.id);
+        }
+    }
+    return nullptr;
+}
+
 template <class Rules>
 typename request_path<Rules>::decision request_path<Rules>::decide_owned(
     request_packet const& packet, bool idempotent, context const& at) const
@@ -201,6 +226,12 @@
            now.steady < incoming.complete + settings_.hold_limit;
 }
 
+template <class Rules>
+bool request_path<Rules>::newly_started(instant now) const
+{
+    return !started_ || now.steady < *started_ + settings_.acquaintance;
+}
+
 template <class Rules>
 std::optional<request_ticket>
 request_path<Rules>::add(request_packet const& packet,
--- a/dotterelrouter/balancer/internal/request_outcome_impl.hpp
+++ b/dotterelrouter/balancer/internal/request_outcome_impl.hpp
@@ -38,6 +38,23 @@
 
 } // namespace internal
 
+template <class Rules>
+template <class Loads>
+std::optional<server_id>
+request_path<Rules>::choose_for_owner(pending_request const& pending,
+                                      service const& from,
+                                      Loads const& loads) const
+{
+    auto const key = pending.packet.key.flow;
+    auto const likely = successor_choice(from, key);
+    if (likely && loads.usable(*likely))
+    {
+        return likely;
+    }
+    auto const placed = choose(from, key, flow_length::many, loads);
+    return placed ? std::optional{placed->server} : std::nullopt;
+}
+
 template <class Rules>
 void request_path<Rules>::pump(context const& at)
 {
@@ -51,6 +68,10 @@
     {
         auto const& pending = pool_[request.ticket.value];
         auto const* from = at.config->find_service(request.service);
+        if (!at.slots.owns(pending.slot))
+        {
+            return choose_for_owner(pending, *from, loads);
+        }
         auto const placed = choose(*from,
                                    pending.packet.key.flow,
                                    lengths_.expected(request.kind),
@@ -70,6 +91,15 @@
     auto const ticket = request_ticket{next.ticket.value};
     auto& pending = pool_[ticket];
     admission_.on_sent(next.server, next.kind, at.now);
+    auto const* flow = flows_.find(pending.packet.key.flow);
+    if (flow != nullptr && flow->server != next.server)
+    {
+        // Another request of the flow was placed while this one waited.
+        admission_.on_finished(
+            next.server, next.kind, try_outcome::cancelled, {}, at.now);
+        enqueue(ticket, false, at);
+        return;
+    }
     pending.stage = request_stage::sent;
     pending.server = next.server;
     pending.sent = at.now.steady;
@@ -123,17 +153,10 @@
 void request_path<Rules>::bind_flow(pending_request& request, context const& at)
 {
     auto const key = request.packet.key.flow;
-    auto const* known = flows_.find(key);
-    if (known != nullptr && known->server == request.server)
+    if (flows_.find(key) != nullptr)
     {
         return;
     }
-    if (known != nullptr)
-    {
-        // Another request of the flow was placed while this one waited.
-        at.out.emplace_back(count{counter::flows_broken_displaced});
-        return;
-    }
     auto* entry = flows_.put(key, request.server, at.now.steady);
     if (entry == nullptr)
     {
@@ -400,6 +423,11 @@
     if (pending.stage == request_stage::held)
     {
         std::erase(held_, ticket);
+        if (pending.idempotent)
+        {
+            enqueue(ticket, false, at);
+            return;
+        }
         refuse_pending(ticket, execution::may_have_run, reason::not_owner, at);
         return;
     }
--- a/dotterelrouter/balancer/internal/request_path.hpp
+++ b/dotterelrouter/balancer/internal/request_path.hpp
@@ -34,6 +34,9 @@
     duration max_lifetime = std::chrono::seconds{60};
     /// How long a request waits for the right to its slot.
     duration hold_limit = std::chrono::seconds{1};
+    /// A balancer that has just started holds requests of owners that it
+    /// has not heard of yet.
+    duration acquaintance = std::chrono::seconds{3};
     /// How long after its deadline an answer may begin.
     duration answer_grace = std::chrono::seconds{1};
     /// How long an answer may pause between two parts.
@@ -152,10 +155,14 @@
     [[nodiscard]] decision decide(request_packet const& packet,
                                   bool idempotent,
                                   context const& at) const;
+    /// To whom a request of another's slot is passed; null: to nobody.
+    [[nodiscard]] member_record const* next_hop(slot_id slot,
+                                                context const& at) const;
     [[nodiscard]] decision decide_owned(request_packet const& packet,
                                         bool idempotent,
                                         context const& at) const;
     [[nodiscard]] bool expects(slot_id slot, instant now) const;
+    [[nodiscard]] bool newly_started(instant now) const;
     void on_repeat(request_ticket ticket,
                    request_packet const& packet,
                    context const& at);
@@ -181,6 +188,13 @@
     // Sending.
     void pump(context const& at);
     void send(admitted const& next, context const& at);
+    /// For a slot of another owner, which can't be reached: what it would
+    /// most likely choose.
+    template <class Loads>
+    [[nodiscard]] std::optional<server_id>
+    choose_for_owner(pending_request const& pending,
+                     service const& from,
+                     Loads const& loads) const;
     [[nodiscard]] bool may_send(pending_request const& request,
                                 context const& at) const;
     [[nodiscard]] wall_time fence(pending_request const& request,
@@ -246,6 +260,7 @@
     std::vector<dropped_request> dropped_;
     std::vector<incoming_handover> incoming_; ///< By slot.
     std::vector<bool> owned_;                 ///< By slot, when last seen.
+    std::optional<steady_time> started_;
     steady_time next_housekeeping_;
     std::uint16_t copy_cursor_ = 0; ///< Slot to go on copying with.
     double copy_credit_ = 0;        ///< Copies that may be sent now.
--- a/dotterelrouter/balancer/internal/slot_handover_impl.hpp
+++ b/dotterelrouter/balancer/internal/slot_handover_impl.hpp
@@ -80,14 +80,13 @@
 {
     unqueue_slot(order.slot, at);
     internal::handover_writer writer(order, at.out);
+    // All flows, not just those that the successor would not choose by
+    // itself: what it would choose changes with the next configuration.
     flows_.for_each_in_slot(
         order.slot,
         [&](flow_entry const& flow)
         {
-            if (deviates(flow, at))
-            {
-                writer.add(flow_placement{flow.key(), flow.server});
-            }
+            writer.add(flow_placement{flow.key(), flow.server});
         });
     records_.for_each(
         [&](request_record const& record)
@@ -108,10 +107,13 @@
 bool request_path<Rules>::deviates(flow_entry const& flow,
                                    context const& at) const
 {
-    auto const* address = at.config->find_address(flow.key().service_address);
+    auto const* address =
+        at.config == nullptr
+            ? nullptr
+            : at.config->find_address(flow.key().service_address);
     if (address == nullptr)
     {
-        return false;
+        return true;
     }
     auto const* from = at.config->find_service(address->service);
     return successor_choice(*from, flow.key()) != flow.server;
@@ -166,7 +168,7 @@
     {
         if (auto* entry = flows_.put(flow.flow, flow.server, at.now.steady))
         {
-            entry->deviates = true;
+            entry->deviates = deviates(*entry, at);
             entry->touch(at.now.steady);
         }
     }
@@ -234,6 +236,15 @@
 template <class Rules>
 void request_path<Rules>::on_timer(context const& at)
 {
+    if (!started_)
+    {
+        started_ = at.now.steady;
+    }
+    auto const house_due = at.now.steady >= next_housekeeping_;
+    if (house_due)
+    {
+        next_housekeeping_ = at.now.steady + internal::housekeeping_interval;
+    }
     if (at.config == nullptr)
     {
         return;
@@ -245,9 +256,8 @@
                           look_at(ticket, generation, at);
                       });
     health_.on_timer(at.now, at.out);
-    if (at.now.steady >= next_housekeeping_)
+    if (house_due)
     {
-        next_housekeeping_ = at.now.steady + internal::housekeeping_interval;
         keep_house(at);
     }
     pump(at);
