Notice a contradicting load report in either order

Cause: the balancer hands on the report of an answer before its outcome, the measure the other way round; only the latter was noticed.

Change: the refusal and the report of one time are compared whichever comes last. A test has both orders.

--- a/dotterelrouter/health/health.cpp
+++ b/dotterelrouter/health/health.cpp
@@ -75,6 +75,16 @@
     return true;
 }
 
+/// Notes a refusal and a report of free slots that came at once.
+void contradict(server_health& server, instant now)
+{
+    if (server.last_shed == now.steady && server.reported == now.steady &&
+        server.report.busy_slots < server.slots)
+    {
+        server.contradicted = now.steady;
+    }
+}
+
 /// Ends the back-off of a server that has answered well for long enough.
 void forgive(server_health& server, instant now)
 {
@@ -197,6 +207,7 @@
     case try_outcome::shed:
         server->suspicion += points_per_shed;
         server->last_shed = now.steady;
+        contradict(*server, now);
         break;
     case try_outcome::refused:
     case try_outcome::cancelled:
@@ -229,11 +240,7 @@
     {
         server->report = report;
         server->reported = now.steady;
-        if (server->last_shed == now.steady &&
-            report.busy_slots < server->slots)
-        {
-            server->contradicted = now.steady;
-        }
+        contradict(*server, now);
     }
 }
 
--- a/dotterelrouter/health/health.hpp
+++ b/dotterelrouter/health/health.hpp
@@ -55,10 +55,9 @@
     /// The answer to a probe, or its absence. Weighs less than real work.
     void on_probe(server_id server, bool answered, instant now, effects& out);
 
-    /// The load a server reports of itself; it may lag or be wrong. For one
-    /// that came with an answer, call on_outcome first, at the same time: a
-    /// server that refuses work while it reports free slots is not believed
-    /// for a while.
+    /// The load a server reports of itself; it may lag or be wrong. A server
+    /// that refuses work and reports free slots at the same time (in one
+    /// answer) is not believed for a while.
     void on_load_report(server_id server, load_report report, instant now);
 
     /// What another member thinks of a server.
--- a/dotterelrouter/health/health_test.cpp
+++ b/dotterelrouter/health/health_test.cpp
@@ -196,6 +196,9 @@
     pass(60s);
     view.on_load_report(id("s0"), {.busy_slots = 0, .queued = 0}, now);
     DOUBLES_EQUAL(0, view.reported_load(id("s0"), now), 0.01);
+    // In the other order.
+    view.on_outcome(id("s0"), try_outcome::shed, 1ms, now, out);
+    DOUBLES_EQUAL(unknown, view.reported_load(id("s0"), now), 0.01);
 }
 
 TEST(health, a_change_keeps_what_is_known_and_starts_new_servers_cold)
