Hold flows that begin while their slot is handed over; plan no move in an outage

(3) Each expired request woke the balancer, and each wake looked at all slots. Ruled out: resuming the right under the old version, since the successor would keep stale records. Change: requests that would begin a flow wait for the successor; a handover is ordered only if the store answered within 2 s; other timers are served by the housekeeping interval, and slots are looked at when membership, ownership or distribution has work. The outage case is not yet run with processes again.

--- a/dotterelrouter/balancer/internal/balancer_impl.hpp
+++ b/dotterelrouter/balancer/internal/balancer_impl.hpp
@@ -148,10 +148,18 @@
                                  effects& out)
 {
     armed_.reset();
+    path_.on_timer(at(now, out));
+    auto const others = std::min({membership_.next_wake(),
+                                  ownership_.next_wake(),
+                                  distribution_.next_wake()});
+    if (others > now.steady)
+    {
+        finish_if_done(now, out);
+        return;
+    }
     membership_.on_timer(now, out);
     ownership_.on_timer(now, out);
     distribution_.on_timer(now, out);
-    path_.on_timer(at(now, out));
     settle(now, out);
 }
 
--- a/dotterelrouter/balancer/internal/expiry_queue.hpp
+++ b/dotterelrouter/balancer/internal/expiry_queue.hpp
@@ -11,7 +11,6 @@
 #include "dotterelrouter/balancer/internal/request_pool.hpp"
 
 #include <algorithm>
-#include <optional>
 #include <vector>
 
 namespace dotterelrouter
@@ -39,15 +38,6 @@
         }
     }
 
-    [[nodiscard]] std::optional<steady_time> next() const
-    {
-        if (heap_.empty())
-        {
-            return std::nullopt;
-        }
-        return heap_.front().when;
-    }
-
 private:
     struct entry
     {
--- a/dotterelrouter/balancer/internal/request_arrival_impl.hpp
+++ b/dotterelrouter/balancer/internal/request_arrival_impl.hpp
@@ -14,7 +14,7 @@
                                   std::size_t slots)
     : settings_(settings), self_(self), pool_(settings.max_requests),
       records_(settings.max_records), flows_(slots, settings.max_flows),
-      health_(self), incoming_(slots), owned_(slots, false)
+      health_(self), incoming_(slots), handed_over_(slots), owned_(slots, false)
 {
 }
 
@@ -144,7 +144,7 @@
 
 template <class Rules>
 typename request_path<Rules>::decision request_path<Rules>::decide(
-    request_packet const& packet, bool idempotent, context const& at) const
+    request_packet const& packet, bool idempotent, context const& at)
 {
     auto const slot = slot_of(packet.key.flow, at.slots.slot_count());
     if (at.slots.owns(slot))
@@ -198,13 +198,16 @@
 
 template <class Rules>
 typename request_path<Rules>::decision request_path<Rules>::decide_owned(
-    request_packet const& packet, bool idempotent, context const& at) const
+    request_packet const& packet, bool idempotent, context const& at)
 {
+    auto const slot = slot_of(packet.key.flow, at.slots.slot_count());
     if (idempotent || !Rules::check_right)
     {
-        return decision{route::serve};
+        // A flow that began now would be unknown to the successor.
+        auto const begins = flows_.find(packet.key.flow) == nullptr;
+        return decision{begins && handing_over(slot, at) ? route::hold
+                                                         : route::serve};
     }
-    auto const slot = slot_of(packet.key.flow, at.slots.slot_count());
     auto const right = at.slots.right_to(slot, at.now);
     if (!right.held)
     {
--- a/dotterelrouter/balancer/internal/request_path.hpp
+++ b/dotterelrouter/balancer/internal/request_path.hpp
@@ -152,15 +152,14 @@
     };
 
     // Arrival.
-    [[nodiscard]] decision decide(request_packet const& packet,
-                                  bool idempotent,
-                                  context const& at) const;
+    [[nodiscard]] decision
+    decide(request_packet const& packet, bool idempotent, context const& at);
     /// To whom a request of another's slot is passed; null: to nobody.
     [[nodiscard]] member_record const* next_hop(slot_id slot,
                                                 context const& at) const;
     [[nodiscard]] decision decide_owned(request_packet const& packet,
                                         bool idempotent,
-                                        context const& at) const;
+                                        context const& at);
     [[nodiscard]] bool expects(slot_id slot, instant now) const;
     [[nodiscard]] bool newly_started(instant now) const;
     void on_repeat(request_ticket ticket,
@@ -232,6 +231,9 @@
 
     // Handover.
     void unqueue_slot(slot_id slot, context const& at);
+    /// The successor has been sent all that is known of the slot, and is not
+    /// its owner yet.
+    [[nodiscard]] bool handing_over(slot_id slot, context const& at) const;
     void forget_lost_slots(context const& at);
     [[nodiscard]] bool deviates(flow_entry const& flow,
                                 context const& at) const;
@@ -259,6 +261,7 @@
     std::vector<request_ticket> held_;
     std::vector<dropped_request> dropped_;
     std::vector<incoming_handover> incoming_; ///< By slot.
+    std::vector<steady_time> handed_over_;    ///< By slot; zero: never.
     std::vector<bool> owned_;                 ///< By slot, when last seen.
     std::optional<steady_time> started_;
     steady_time next_housekeeping_;
--- a/dotterelrouter/balancer/internal/slot_handover_impl.hpp
+++ b/dotterelrouter/balancer/internal/slot_handover_impl.hpp
@@ -78,6 +78,7 @@
 void request_path<Rules>::hand_over(handover_order const& order,
                                     context const& at)
 {
+    handed_over_[order.slot.value] = at.now.steady;
     unqueue_slot(order.slot, at);
     internal::handover_writer writer(order, at.out);
     // All flows, not just those that the successor would not choose by
@@ -122,29 +123,45 @@
 template <class Rules>
 void request_path<Rules>::unqueue_slot(slot_id slot, context const& at)
 {
-    std::vector<request_ticket> refused_once;
+    std::vector<request_ticket> waiting;
     pool_.for_each(
         [&](request_ticket ticket, pending_request& pending)
         {
-            if (pending.idempotent || pending.slot != slot ||
-                pending.stage != request_stage::queued)
+            if (pending.slot == slot && pending.stage == request_stage::queued)
             {
-                return;
-            }
-            admission_.cancel(ticket_id{ticket});
-            if (pending.packet.attempt > 0)
-            {
-                refused_once.push_back(ticket);
-                return;
+                waiting.push_back(ticket);
             }
-            hold(ticket, at);
         });
-    for (auto const ticket : refused_once)
+    for (auto const ticket : waiting)
     {
-        refuse_pending(ticket, execution::not_run, reason::load_shed, at);
+        auto const& pending = pool_[ticket];
+        admission_.cancel(ticket_id{ticket});
+        if (pending.idempotent &&
+            flows_.find(pending.packet.key.flow) != nullptr)
+        {
+            // Bound to its flow's server, it can be sent from here.
+            enqueue(ticket, false, at);
+        }
+        else if (!pending.idempotent && pending.packet.attempt > 0)
+        {
+            refuse_pending(ticket, execution::not_run, reason::load_shed, at);
+        }
+        else
+        {
+            hold(ticket, at);
+        }
     }
 }
 
+template <class Rules>
+bool request_path<Rules>::handing_over(slot_id slot, context const& at) const
+{
+    auto const since = handed_over_[slot.value];
+    return since != steady_time{} &&
+           at.now.steady < since + settings_.hold_limit &&
+           !at.slots.right_to(slot, at.now).held;
+}
+
 template <class Rules>
 bool request_path<Rules>::take_over(member_id from,
                                     handover_message const& message,
@@ -250,11 +267,6 @@
         return;
     }
     drop_expired(at);
-    expiries_.pop_due(at.now.steady,
-                      [&](request_ticket ticket, std::uint32_t generation)
-                      {
-                          look_at(ticket, generation, at);
-                      });
     health_.on_timer(at.now, at.out);
     if (house_due)
     {
@@ -285,6 +297,11 @@
 template <class Rules>
 void request_path<Rules>::keep_house(context const& at)
 {
+    expiries_.pop_due(at.now.steady,
+                      [&](request_ticket ticket, std::uint32_t generation)
+                      {
+                          look_at(ticket, generation, at);
+                      });
     retry_held(at);
     records_.expire(at.now.wall);
     flows_.expire(at.now.steady,
@@ -372,7 +389,6 @@
             next = std::min(next, *when);
         }
     };
-    take(expiries_.next());
     take(admission_.next_wake(at.now));
     take(health_.next_wake());
     return next;
--- a/dotterelrouter/ownership/internal/plan_impl.hpp
+++ b/dotterelrouter/ownership/internal/plan_impl.hpp
@@ -222,6 +222,13 @@
     {
         return;
     }
+    if (now.steady - last_answer_ > settings_.fresh_answer)
+    {
+        // A handover that can't be proposed would leave the slot without a
+        // right for as long as the store is away.
+        read_soon(now, out);
+        return;
+    }
     auto const witness =
         ownership_detail::best_witness(slot, *to, members, !leaving_, {});
     if (!witness && !leaving_)
--- a/dotterelrouter/ownership/ownership.hpp
+++ b/dotterelrouter/ownership/ownership.hpp
@@ -54,6 +54,8 @@
     duration move_delay = std::chrono::seconds{3};
     /// A handover that is not accepted for so long is given up.
     duration handover_timeout = std::chrono::seconds{5};
+    /// A handover is ordered only if the store has answered within this.
+    duration fresh_answer = std::chrono::seconds{2};
     /// Handovers at once; four times as many when leaving.
     std::size_t handovers_at_once = 4;
     /// Proposals at once.
--- a/testing/fleet/fleet.hpp
+++ b/testing/fleet/fleet.hpp
@@ -20,6 +20,7 @@
 #include <queue>
 #include <random>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 
 namespace dotterelrouter::testing
@@ -52,7 +53,6 @@
         std::uint64_t seen_revision = 0;
         bool alive = false;
         bool leaving = false;
-        bool finished = false;
         epoch_number epoch;
     };
 
@@ -161,6 +161,17 @@
     std::size_t start_node(std::uint32_t vm);
     void reduce(std::size_t index, event const& happened);
     void carry_out(std::size_t index, effect const& asked);
+    void carry(std::size_t index, send_request const& asked);
+    void carry(std::size_t index, pass_request const& asked);
+    void carry(std::size_t index, send_answer const& asked);
+    void carry(std::size_t index, send_refusal const& asked);
+    void carry(std::size_t index, send_peer_message const& asked);
+    void carry(std::size_t index, wake_at const& asked);
+    void carry(std::size_t index, record_step const& asked);
+    void carry(std::size_t index, count const& asked);
+    void carry(std::size_t index, finish const& asked);
+    template <class PlatformCall>
+    void carry(std::size_t index, PlatformCall const& asked);
 
     // Network.
     bool cut(std::uint32_t from, std::uint32_t to) const;
@@ -202,13 +213,17 @@
     void close(call& made);
 
     // Faults.
+    bool happens(double per_second);
+    void fail_platform();
+    void change_plan();
     void crash_one();
     void pause_one();
     void cut_link();
     void replace_one();
     std::optional<std::size_t> random_live();
 
-    void violation(std::string what, request_number number);
+    void violation(std::string_view what, request_number number);
+    void note_execution(to_server const& what, call& made, caller_flow& flow);
     void final_checks();
 
     profile how_;
--- a/testing/fleet/fleet_faults_impl.hpp
+++ b/testing/fleet/fleet_faults_impl.hpp
@@ -87,12 +87,6 @@
     {
         return;
     }
-    using seconds = std::chrono::duration<double>;
-    auto const interval = seconds(fault_interval).count();
-    auto const happens = [&](double per_second)
-    {
-        return chance(per_second * interval);
-    };
     if (happens(how_.crashes))
     {
         crash_one();
@@ -105,6 +99,28 @@
     {
         cut_link();
     }
+    fail_platform();
+    if (happens(how_.replacements))
+    {
+        replace_one();
+    }
+    if (happens(how_.configurations))
+    {
+        change_plan();
+    }
+    at(now_ + fault_interval, fault_tick{});
+}
+
+template <class Rules>
+bool fleet<Rules>::happens(double per_second)
+{
+    using seconds = std::chrono::duration<double>;
+    return chance(per_second * seconds(fault_interval).count());
+}
+
+template <class Rules>
+void fleet<Rules>::fail_platform()
+{
     if (happens(how_.store_cuts))
     {
         if (auto const index = random_live())
@@ -125,25 +141,22 @@
         store_.manifest_revision = store_revision{++store_.revision};
         at(now_, watch_ends{0, 0, true});
     }
-    if (happens(how_.replacements))
-    {
-        replace_one();
-    }
-    if (happens(how_.configurations))
+}
+
+template <class Rules>
+void fleet<Rules>::change_plan()
+{
+    old_copy_ = store_;
+    draining_.clear();
+    drained_since_.clear();
+    if (chance(0.7))
     {
-        old_copy_ = store_;
-        draining_.clear();
-        drained_since_.clear();
-        if (chance(0.7))
-        {
-            auto chosen = servers_.begin();
-            std::advance(chosen, random_index(servers_.size()));
-            draining_.insert(chosen->first);
-            drained_since_[chosen->first] = now_;
-        }
-        accept_configuration();
+        auto chosen = servers_.begin();
+        std::advance(chosen, random_index(servers_.size()));
+        draining_.insert(chosen->first);
+        drained_since_[chosen->first] = now_;
     }
-    at(now_ + fault_interval, fault_tick{});
+    accept_configuration();
 }
 
 template <class Rules>
--- a/testing/fleet/fleet_nodes_impl.hpp
+++ b/testing/fleet/fleet_nodes_impl.hpp
@@ -101,82 +101,113 @@
 template <class Rules>
 void fleet<Rules>::carry_out(std::size_t index, effect const& asked)
 {
-    auto& from = nodes_[index];
-    if (auto const* sent = std::get_if<send_request>(&asked))
-    {
-        auto packet = sent->packet;
-        packet.payload = calls_[packet.key.request.value].payload;
-        auto const server = server_at_.find(sent->to);
-        transmit(
-            from.vm, 0, to_server{server->second, from.record.data, packet});
-    }
-    else if (auto const* passed = std::get_if<pass_request>(&asked))
-    {
-        auto packet = passed->packet;
-        packet.payload = calls_[packet.key.request.value].payload;
-        if (auto const to = node_at(passed->to))
-        {
-            transmit(from.vm,
-                     nodes_[*to].vm,
-                     to_node{*to, request_received{packet}, {}, {}});
-        }
-    }
-    else if (auto const* answer = std::get_if<send_answer>(&asked))
-    {
-        auto packet = answer->packet;
-        packet.payload = calls_[packet.key.request.value].payload;
-        transmit(from.vm, 0, to_caller{packet});
-    }
-    else if (auto const* refusal = std::get_if<send_refusal>(&asked))
-    {
-        auto& told = calls_[refusal->packet.key.request.value];
-        auto const given = refusal->packet.told;
-        ++seen_.refusals[std::string(to_string(given.outcome)) + ", " +
-                         std::string(to_string(given.why))];
-        if (refusal->packet.told.outcome == execution::not_run)
+    std::visit(
+        [&](auto const& value)
         {
-            told.told_not_run = true;
-            if (told.executions > 0)
-            {
-                violation("told not run after it ran", told.packet.key.request);
-            }
-        }
-        transmit(from.vm, 0, to_caller{refusal->packet});
-    }
-    else if (auto const* message = std::get_if<send_peer_message>(&asked))
-    {
-        send_to_peer(index, *message);
-    }
-    else if (auto const* timer = std::get_if<wake_at>(&asked))
+            carry(index, value);
+        },
+        asked);
+}
+
+template <class Rules>
+void fleet<Rules>::carry(std::size_t index, send_request const& asked)
+{
+    auto const& from = nodes_[index];
+    auto packet = asked.packet;
+    packet.payload = calls_[packet.key.request.value].payload;
+    auto const server = server_at_.find(asked.to);
+    transmit(from.vm, 0, to_server{server->second, from.record.data, packet});
+}
+
+template <class Rules>
+void fleet<Rules>::carry(std::size_t index, pass_request const& asked)
+{
+    auto packet = asked.packet;
+    packet.payload = calls_[packet.key.request.value].payload;
+    if (auto const to = node_at(asked.to))
     {
-        auto const wait = timer->when - clock_of(from).steady;
-        at(now_ + std::max(wait, duration{0}) + std::chrono::microseconds{1},
-           wake{index, ++from.wake_number});
+        transmit(nodes_[index].vm,
+                 nodes_[*to].vm,
+                 to_node{*to, request_received{packet}, {}, {}});
     }
-    else if (auto const* counted = std::get_if<count>(&asked))
-    {
-        if (counted->what == counter::invariants_broken)
+}
+
+template <class Rules>
+void fleet<Rules>::carry(std::size_t index, send_answer const& asked)
+{
+    auto packet = asked.packet;
+    packet.payload = calls_[packet.key.request.value].payload;
+    transmit(nodes_[index].vm, 0, to_caller{packet});
+}
+
+template <class Rules>
+void fleet<Rules>::carry(std::size_t index, send_refusal const& asked)
+{
+    auto& refused = calls_[asked.packet.key.request.value];
+    auto const told = asked.packet.told;
+    ++seen_.refusals[std::string(to_string(told.outcome)) + ", " +
+                     std::string(to_string(told.why))];
+    if (told.outcome == execution::not_run)
+    {
+        refused.told_not_run = true;
+        if (refused.executions > 0)
         {
-            violation("invariant of a balancer", {});
+            violation("told not run after it ran", refused.packet.key.request);
         }
     }
-    else if (std::holds_alternative<finish>(asked))
-    {
-        from.alive = false;
-        from.finished = true;
-        std::erase_if(vm_list_,
-                      [&](vm_record const& vm)
-                      {
-                          return vm.control == from.record.id.control;
-                      });
-    }
-    else if (!std::holds_alternative<record_step>(asked))
+    transmit(nodes_[index].vm, 0, to_caller{asked.packet});
+}
+
+template <class Rules>
+void fleet<Rules>::carry(std::size_t index, send_peer_message const& asked)
+{
+    send_to_peer(index, asked);
+}
+
+template <class Rules>
+void fleet<Rules>::carry(std::size_t index, wake_at const& asked)
+{
+    auto& from = nodes_[index];
+    auto const wait =
+        std::max<duration>(asked.when - clock_of(from).steady, {});
+    at(now_ + wait + std::chrono::microseconds{1},
+       wake{index, ++from.wake_number});
+}
+
+template <class Rules>
+void fleet<Rules>::carry(std::size_t /*index*/, record_step const& /*asked*/)
+{
+}
+
+template <class Rules>
+void fleet<Rules>::carry(std::size_t /*index*/, count const& asked)
+{
+    if (asked.what == counter::invariants_broken)
     {
-        ++seen_.store_calls;
-        at(now_ + random_up_to(store_latency), to_store{index, asked});
+        violation("invariant of a balancer", {});
     }
 }
 
+template <class Rules>
+void fleet<Rules>::carry(std::size_t index, finish const& /*asked*/)
+{
+    auto& from = nodes_[index];
+    from.alive = false;
+    std::erase_if(vm_list_,
+                  [&](vm_record const& vm)
+                  {
+                      return vm.control == from.record.id.control;
+                  });
+}
+
+template <class Rules>
+template <class PlatformCall>
+void fleet<Rules>::carry(std::size_t index, PlatformCall const& asked)
+{
+    ++seen_.store_calls;
+    at(now_ + random_up_to(store_latency), to_store{index, asked});
+}
+
 template <class Rules>
 bool fleet<Rules>::cut(std::uint32_t from, std::uint32_t to) const
 {
--- a/testing/fleet/fleet_work_impl.hpp
+++ b/testing/fleet/fleet_work_impl.hpp
@@ -173,6 +173,27 @@
         }
         return;
     }
+    note_execution(what, made, flow);
+    flow.placed = true;
+    flow.server = what.server;
+    ++server.busy;
+    auto const gallery = made.kind == kind_id{2};
+    auto const parts = gallery ? slow_parts : std::uint16_t{1};
+    auto const service = gallery ? how_.slow_service : how_.fast_service;
+    for (std::uint16_t part = 0; part < parts; ++part)
+    {
+        at(now_ + service * (part + 1) / parts,
+           server_done{what.server, what.from, packet, part, parts});
+    }
+}
+
+template <class Rules>
+void fleet<Rules>::note_execution(to_server const& what,
+                                  call& made,
+                                  caller_flow& flow)
+{
+    auto& server = servers_[what.server];
+    auto const& packet = what.packet;
     ++made.executions;
     ++server.runs;
     ++seen_.executions;
@@ -203,16 +224,6 @@
     {
         violation("new flow to a leaving server", packet.key.request);
     }
-    flow.placed = true;
-    flow.server = what.server;
-    ++server.busy;
-    auto const parts = gallery ? slow_parts : std::uint16_t{1};
-    auto const service = gallery ? how_.slow_service : how_.fast_service;
-    for (std::uint16_t part = 0; part < parts; ++part)
-    {
-        at(now_ + service * (part + 1) / parts,
-           server_done{what.server, what.from, packet, part, parts});
-    }
 }
 
 template <class Rules>
@@ -280,13 +291,13 @@
 }
 
 template <class Rules>
-void fleet<Rules>::violation(std::string what, request_number number)
+void fleet<Rules>::violation(std::string_view what, request_number number)
 {
     constexpr std::size_t most = 10;
     if (seen_.violations.size() < most)
     {
         using seconds = std::chrono::duration<double>;
-        seen_.violations.push_back(what + ", request " +
+        seen_.violations.push_back(std::string(what) + ", request " +
                                    std::to_string(number.value) + ", at " +
                                    std::to_string(seconds(now_).count()) +
                                    " s, seed " + std::to_string(seed_));
