Add the one program with its commands, and examples

Cause: no command line, and nothing to declare with it.

Change: balancer, apply, check, show, status and timeline under one program, build/bin/dotterelrouter (build/dotterelrouter is the build tree's folder). Swaps over HTTP are made in one place.

--- /dev/null
+++ b/dotterelrouter/command/main.cpp
@@ -0,0 +1,9 @@
+// The one program.
+#include "dotterelrouter/command/command.hpp"
+
+#include <cstddef>
+
+int main(int argc, char** argv)
+{
+    return dotterelrouter::run_command({argv, static_cast<std::size_t>(argc)});
+}
--- /dev/null
+++ b/dotterelrouter/command/options_test.cpp
@@ -0,0 +1,233 @@
+#include "dotterelrouter/command/command.hpp"
+#include "dotterelrouter/command/internal/fleet_view.hpp"
+#include "dotterelrouter/command/internal/options.hpp"
+
+#include <array>
+#include <cstdlib>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace dotterelrouter
+{
+namespace
+{
+
+constexpr std::array<option_spec, 3> specs{{
+    {"test-port", "A port", "1 to 65535", "80"},
+    {"test-where", "A place", "IP:PORT", ""},
+    {"test-on", "A switch", "", ""},
+}};
+
+option_values parse(std::span<char const* const> arguments)
+{
+    return parse_options("test", specs, arguments);
+}
+
+/// The message of the refusal; empty if there was none.
+template <class Query>
+std::string refusal_of(Query query)
+{
+    try
+    {
+        query();
+        return "";
+    }
+    catch (usage_error const& error)
+    {
+        return error.what();
+    }
+}
+
+// clang-format off
+TEST_GROUP(options)
+{
+    void teardown() override
+    {
+        unsetenv("DOTTERELROUTER_TEST_PORT");
+        unsetenv("DOTTERELROUTER_TEST_ON");
+    }
+};
+
+// clang-format on
+
+TEST(options, a_flag_wins_over_its_variable_and_that_over_the_default)
+{
+    std::array<char const*, 1> const flag{"--test-port=82"};
+    LONGS_EQUAL(80, parse({}).number("test-port", 1, 65535));
+    setenv("DOTTERELROUTER_TEST_PORT", "81", 1);
+    LONGS_EQUAL(81, parse({}).number("test-port", 1, 65535));
+    LONGS_EQUAL(82, parse(flag).number("test-port", 1, 65535));
+}
+
+TEST(options, a_switch_is_off_unless_given)
+{
+    CHECK_FALSE(parse({}).on("test-on"));
+    std::array<char const*, 1> const flag{"--test-on"};
+    CHECK_TRUE(parse(flag).on("test-on"));
+    setenv("DOTTERELROUTER_TEST_ON", "yes", 1);
+    STRCMP_EQUAL("--test-on: 'yes', accepted: 0 or 1",
+                 refusal_of(
+                     []
+                     {
+                         static_cast<void>(parse({}).on("test-on"));
+                     })
+                     .c_str());
+}
+
+TEST(options, bad_values_are_named_with_what_is_accepted)
+{
+    std::array<char const*, 2> const bad{"--test-port=0", "--test-where=x:1"};
+    auto const values = parse(bad);
+    STRCMP_EQUAL("--test-port: '0', accepted: 1 to 65535",
+                 refusal_of(
+                     [&]
+                     {
+                         static_cast<void>(values.number("test-port", 1, 9));
+                     })
+                     .c_str());
+    STRCMP_EQUAL("--test-where: 'x:1', accepted: IP:PORT",
+                 refusal_of(
+                     [&]
+                     {
+                         static_cast<void>(values.where("test-where"));
+                     })
+                     .c_str());
+    STRCMP_EQUAL("--test-where: missing, accepted: IP:PORT",
+                 refusal_of(
+                     []
+                     {
+                         static_cast<void>(parse({}).where("test-where"));
+                     })
+                     .c_str());
+}
+
+TEST(options, unknown_flags_and_words_are_refused)
+{
+    std::array<char const*, 1> const unknown{"--bogus"};
+    CHECK_TRUE(refusal_of(
+                   [&]
+                   {
+                       parse(unknown);
+                   })
+                   .find("bogus") != std::string::npos);
+    std::array<char const*, 1> const word{"word"};
+    STRCMP_EQUAL("'word' is no flag; see --help",
+                 refusal_of(
+                     [&]
+                     {
+                         parse(word);
+                     })
+                     .c_str());
+}
+
+template <class Wanted>
+std::vector<Wanted> only(std::span<view_effect const> all)
+{
+    std::vector<Wanted> found;
+    for (auto const& item : all)
+    {
+        if (auto const* wanted = std::get_if<Wanted>(&item))
+        {
+            found.push_back(*wanted);
+        }
+    }
+    return found;
+}
+
+/// Runs a view whose manifest is of epoch 5, up to the calls on two VMs.
+fleet_view started(view_kind wanted, view_effects& out)
+{
+    fleet_view state({.wanted = wanted, .vms = {}});
+    state.reduce(command_started{}, {}, out);
+    auto const manifest = std::make_shared<configuration_manifest>();
+    manifest->epoch = epoch_number{5};
+    state.reduce(manifest_read{store_revision{1}, manifest}, {}, out);
+    std::array<vm_record, 2> const vms{
+        {{.control = {1, 7000}, .data = {}, .data_centre = {}},
+         {.control = {2, 7000}, .data = {}, .data_centre = {}}}};
+    state.reduce(vm_list_read{vms}, {}, out);
+    return state;
+}
+
+balancer_page at_epoch(std::uint64_t epoch)
+{
+    balancer_page page;
+    page.epoch = epoch;
+    page.data_centre = "north";
+    return page;
+}
+
+// clang-format off
+TEST_GROUP(fleet_view){};
+
+// clang-format on
+
+TEST(fleet_view, show_fails_while_a_balancer_has_another_epoch)
+{
+    for (std::uint64_t const epoch : {4U, 5U})
+    {
+        view_effects out;
+        auto state = started(view_kind::show, out);
+        UNSIGNED_LONGS_EQUAL(2, only<read_status>(out).size());
+        state.reduce(status_read{2, at_epoch(epoch)}, {}, out);
+        UNSIGNED_LONGS_EQUAL(0, only<exit_with>(out).size());
+        state.reduce(status_read{1, at_epoch(5)}, {}, out);
+        LONGS_EQUAL(epoch == 5 ? exit_done : exit_failed,
+                    only<exit_with>(out)[0].code);
+        auto const report = only<print_report>(out)[0].report;
+        auto const expected = "declared epoch 5\n0.0.0.1  north  epoch 5\n"
+                              "0.0.0.2  north  epoch " +
+                              std::to_string(epoch) + '\n';
+        STRCMP_EQUAL(expected.c_str(), to_text(report).c_str());
+    }
+}
+
+TEST(fleet_view, a_silent_balancer_is_named)
+{
+    view_effects out;
+    auto state = started(view_kind::status, out);
+    state.reduce(status_read{1, at_epoch(5)}, {}, out);
+    state.reduce(status_read{2, std::nullopt}, {}, out);
+    LONGS_EQUAL(exit_failed, only<exit_with>(out)[0].code);
+    CHECK_TRUE(to_text(only<print_report>(out)[0].report)
+                   .ends_with("0.0.0.2  no answer\n"));
+}
+
+TEST(fleet_view, named_vms_are_asked_while_the_platform_is_silent)
+{
+    fleet_view state({.wanted = view_kind::status, .vms = {7}});
+    view_effects out;
+    state.reduce(platform_unavailable{platform_read::manifest, {}}, {}, out);
+    UNSIGNED_LONGS_EQUAL(1, only<read_status>(out).size());
+    UNSIGNED_LONGS_EQUAL(0, only<read_vm_list>(out).size());
+}
+
+TEST(fleet_view, time_lines_are_merged_by_time)
+{
+    view_effects out;
+    auto state = started(view_kind::timeline, out);
+    auto const one = parse_timeline(
+        R"({"process":"a","records":[
+            {"time_ns":3,"step":"x","subject":1,"cause":2,"detail":""},
+            {"time_ns":9,"step":"y","subject":1,"cause":2,"detail":""}]})");
+    auto const two = parse_timeline(
+        R"({"process":"b","records":[
+            {"time_ns":5,"step":"z","subject":1,"cause":2,"detail":"d"}]})");
+    state.reduce(timeline_read{1, one}, {}, out);
+    state.reduce(timeline_read{2, two}, {}, out);
+    STRCMP_EQUAL("3  a  x  subject 1  cause 2  \n"
+                 "5  b  z  subject 1  cause 2  d\n"
+                 "9  a  y  subject 1  cause 2  \n",
+                 to_text(only<print_report>(out)[0].report).c_str());
+}
+
+TEST(fleet_view, malformed_pages_are_no_answer)
+{
+    CHECK_FALSE(parse_status("{}").has_value());
+    CHECK_FALSE(parse_status("").has_value());
+    CHECK_FALSE(parse_timeline(R"({"process":1})").has_value());
+}
+
+} // namespace
+} // namespace dotterelrouter
--- a/dotterelrouter/platform/internal/platform_calls.hpp
+++ b/dotterelrouter/platform/internal/platform_calls.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <string_view>
 
 struct event_base;
 
@@ -25,6 +26,15 @@
     std::size_t max_calls = 64; ///< In progress; more are unavailable.
 };
 
+/// The call that swaps a key's value; expected 0: creates the key. The body
+/// is a view of `value`.
+http_request swap_request(std::string_view key,
+                          store_revision expected,
+                          byte_view value,
+                          duration timeout);
+/// How such a call ended.
+store_status swap_status(http_response const& response);
+
 /// Takes an event on behalf of a sink.
 using event_callback = void (*)(void* sink, event const& happened);
 
--- a/dotterelrouter/platform/platform_calls.cpp
+++ b/dotterelrouter/platform/platform_calls.cpp
@@ -46,7 +46,26 @@
            response.status == status;
 }
 
-store_status status_of(http_response const& response)
+/// Assignments of a body; entries that are no assignments are left out.
+std::vector<stored_assignment>
+assignments_of(std::span<stored_entry const> entries)
+{
+    std::vector<stored_assignment> found;
+    for (auto const& entry : entries)
+    {
+        auto const slot = slot_of_key(entry.key);
+        auto const value = decode_assignment(entry.value);
+        if (slot && value)
+        {
+            found.push_back({*slot, entry.revision, *value});
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+store_status swap_status(http_response const& response)
 {
     switch (response.result)
     {
@@ -66,25 +85,26 @@
                : store_status::unavailable;
 }
 
-/// Assignments of a body; entries that are no assignments are left out.
-std::vector<stored_assignment>
-assignments_of(std::span<stored_entry const> entries)
+http_request swap_request(std::string_view key,
+                          store_revision expected,
+                          byte_view value,
+                          duration timeout)
 {
-    std::vector<stored_assignment> found;
-    for (auto const& entry : entries)
+    http_request request{.method = http_method::put,
+                         .path = path_of(key),
+                         .body = value,
+                         .timeout = timeout};
+    if (expected == store_revision{})
     {
-        auto const slot = slot_of_key(entry.key);
-        auto const value = decode_assignment(entry.value);
-        if (slot && value)
-        {
-            found.push_back({*slot, entry.revision, *value});
-        }
+        request.if_none_match = "*";
     }
-    return found;
+    else
+    {
+        request.if_match = quoted(expected);
+    }
+    return request;
 }
 
-} // namespace
-
 struct platform_calls::state
 {
     /// One effect being carried out.
@@ -183,7 +203,7 @@
 
     void proposal_answered(operation& of, http_response const& response)
     {
-        assignment_proposed const ended{of.slot, status_of(response)};
+        assignment_proposed const ended{of.slot, swap_status(response)};
         end(of);
         tell(ended);
     }
@@ -235,30 +255,23 @@
     void restore_next(operation& of)
     {
         auto const& chunks = of.restoring.chunks;
-        http_request request{.method = http_method::put,
-                             .timeout = settings.call_timeout};
         if (of.restored_chunks < chunks.size())
         {
             auto const& chunk = *chunks.at(of.restored_chunks);
             auto const bytes = encode_value(chunk);
-            request.path = path_of(key_of(chunk.hash));
-            request.if_none_match = "*";
-            request.body = bytes;
-            start(request, of, &on_response<&state::restore_answered>);
+            start(swap_request(
+                      key_of(chunk.hash), {}, bytes, settings.call_timeout),
+                  of,
+                  &on_response<&state::restore_answered>);
             return;
         }
         auto const bytes = encode_value(*of.restoring.value);
-        request.path = path_of(manifest_key);
-        request.body = bytes;
-        if (of.restoring.expected == store_revision{})
-        {
-            request.if_none_match = "*";
-        }
-        else
-        {
-            request.if_match = quoted(of.restoring.expected);
-        }
-        start(request, of, &on_response<&state::restore_ended>);
+        start(swap_request(manifest_key,
+                           of.restoring.expected,
+                           bytes,
+                           settings.call_timeout),
+              of,
+              &on_response<&state::restore_ended>);
     }
 
     void restore_answered(operation& of, http_response const& response)
@@ -332,21 +345,14 @@
 void platform_calls::carry_out(propose_assignment const& asked)
 {
     auto const bytes = encode_value(asked.value);
-    http_request request{.method = http_method::put,
-                         .path = path_of(key_of(asked.slot)),
-                         .body = bytes,
-                         .timeout = state_->settings.call_timeout};
-    if (asked.expected == store_revision{})
-    {
-        request.if_none_match = "*";
-    }
-    else
-    {
-        request.if_match = quoted(asked.expected);
-    }
     auto& of = state_->begin();
     of.slot = asked.slot;
-    state_->start(request, of, &state::on_response<&state::proposal_answered>);
+    state_->start(swap_request(key_of(asked.slot),
+                               asked.expected,
+                               bytes,
+                               state_->settings.call_timeout),
+                  of,
+                  &state::on_response<&state::proposal_answered>);
 }
 
 void platform_calls::carry_out(read_manifest const& asked)
