Let the bare relay send to as many sockets as the balancer does

Cause: the yardstick sent all answers to one caller and all requests to one server, so that the kernel's work a packet was smaller than the balancer's for 64 callers and 4 servers. Change: it sends to all of them in turn and still looks at nothing else.

--- a/measure/relay/bare_relay.hpp
+++ b/measure/relay/bare_relay.hpp
@@ -1,19 +1,26 @@
 // The yardstick: a relay over the same UDP port that looks at nothing but
-// where a datagram comes from.
+// where a datagram comes from, and sends to all servers and callers in turn.
 #pragma once
 
 #include "dotterelrouter/runtime/runtime.hpp"
 
 #include "load.hpp"
 
+#include <algorithm>
+#include <cstddef>
+#include <span>
+#include <vector>
+
 namespace dotterelrouter::measure
 {
 
 class bare_relay
 {
 public:
-    bare_relay(endpoint server, endpoint caller)
-        : server_(server), caller_(caller)
+    bare_relay(std::span<endpoint const> servers,
+               std::span<endpoint const> callers)
+        : servers_(servers.begin(), servers.end()),
+          callers_(callers.begin(), callers.end())
     {
     }
 
@@ -30,13 +37,23 @@
 
     void on_datagram(datagram const& received)
     {
-        auto const to = received.from == server_ ? caller_ : server_;
-        port_.send(to, received.bytes);
+        auto const answer =
+            std::ranges::find(servers_, received.from) != servers_.end();
+        port_.send(answer ? next(callers_, answers_)
+                          : next(servers_, requests_),
+                   received.bytes);
     }
 
 private:
-    endpoint server_;
-    endpoint caller_;
+    static endpoint next(std::span<endpoint const> all, std::size_t& count)
+    {
+        return all[count++ % all.size()];
+    }
+
+    std::vector<endpoint> servers_;
+    std::vector<endpoint> callers_;
+    std::size_t requests_ = 0;
+    std::size_t answers_ = 0;
     event_loop loop_;
     udp_port<bare_relay> port_{loop_, any_loopback_port, *this};
 };
--- a/measure/relay/load.hpp
+++ b/measure/relay/load.hpp
@@ -126,10 +126,15 @@
         }
     }
 
-    /// Where answers of a relay that knows no flows may go.
-    [[nodiscard]] endpoint first_caller() const
+    /// Where the callers are.
+    [[nodiscard]] std::vector<endpoint> local() const
     {
-        return ports_.front()->local();
+        std::vector<endpoint> result;
+        for (auto const& port : ports_)
+        {
+            result.push_back(port->local());
+        }
+        return result;
     }
 
     void run(endpoint balancer, steady_time end)
--- a/measure/relay/relay_cost.cpp
+++ b/measure/relay/relay_cost.cpp
@@ -106,9 +106,9 @@
 
 cost measure_relay(load_settings const& settings)
 {
-    echo_servers echo{1};
+    echo_servers echo{servers};
     steady_callers callers{settings, service_address};
-    bare_relay relay{echo.local().front(), callers.first_caller()};
+    bare_relay relay{echo.local(), callers.local()};
     return measure(
         settings,
         callers,
