--- a/dotterelrouter/membership/membership.cpp
+++ b/dotterelrouter/membership/membership.cpp
@@ -163,7 +163,7 @@
         next_probe_ = now.steady + jittered(settings_.probe_interval, random_);
         drop_tombstones(now);
         start_probe(now, out);
-        greet(out);
+        greet(now, out);
     }
     ask_vm_list(now, out);
 }
@@ -568,44 +568,25 @@
 }
 
 /// Pings listed VMs of which no live member is known, some of them dead to
-/// us: so both sides of a healed cut find each other again. Those who know
-/// most of the fleet already seldom do, so that a VM that has just started
-/// is not greeted by all at once.
-void membership::greet(effects& out)
-{
-    constexpr std::size_t greetings_of_fleet = 4;
-    auto const unknown = static_cast<std::size_t>(
-        std::ranges::count_if(listed_,
-                              [this](listed_vm const& entry)
-                              {
-                                  return strange(entry);
-                              }));
-    std::uniform_int_distribution<std::size_t> any{1, live_count()};
+/// us: so both sides of a healed cut find each other again.
+void membership::greet(instant /*now*/, effects& out)
+{
     auto left = settings_.greetings_per_interval;
-    if (any(random_) > greetings_of_fleet * unknown)
-    {
-        left = 0;
-    }
     for (std::size_t i = 0; i < listed_.size() && left > 0; ++i)
     {
         greet_cursor_ = (greet_cursor_ + 1) % listed_.size();
         auto const& entry = listed_[greet_cursor_];
-        if (strange(entry))
+        auto const where = entry.vm.control;
+        if (where == self_.id.control || index_of(where) != none ||
+            entry.shown != last_list_)
         {
-            send_ping({entry.vm.control, 0}, ++sequence_, out);
-            --left;
+            continue;
         }
+        send_ping({where, 0}, ++sequence_, out);
+        --left;
     }
 }
 
-/// Listed at last, but no live member is known there.
-bool membership::strange(listed_vm const& entry) const
-{
-    auto const where = entry.vm.control;
-    return where != self_.id.control && index_of(where) == none &&
-           entry.shown == last_list_;
-}
-
 void membership::ask_vm_list(instant now, effects& out)
 {
     if (now.steady < next_list_)
--- a/dotterelrouter/membership/membership.hpp
+++ b/dotterelrouter/membership/membership.hpp
@@ -45,7 +45,7 @@
     std::size_t opinions_per_message = 6;
     /// Members asked to probe for us.
     std::size_t indirect_probes = 2;
-    /// Listed VMs of unknown incarnation greeted in one interval at most.
+    /// Listed VMs of unknown incarnation greeted in one interval.
     std::size_t greetings_per_interval = 2;
     /// How much the platform's VM list may lag behind the truth.
     duration vm_list_lag = std::chrono::seconds{60};
@@ -185,8 +185,7 @@
     void check_suspects(instant now, effects& out);
     void drop_tombstones(instant now);
     void start_probe(instant now, effects& out);
-    void greet(effects& out);
-    bool strange(listed_vm const& entry) const;
+    void greet(instant now, effects& out);
     void ask_vm_list(instant now, effects& out);
     member_id next_target();
     void send_ping(member_id to, std::uint64_t sequence, effects& out);
--- a/dotterelrouter/ownership/internal/store_impl.hpp
+++ b/dotterelrouter/ownership/internal/store_impl.hpp
@@ -143,11 +143,6 @@
     {
         send_renewals(now, all, out);
         next_retry_ = now.steady + settings_.renew_retry;
-        auto const retried = [&](slot_state const& state)
-        {
-            return wants_retry(state, now.steady);
-        };
-        retry_wanted_ = std::ranges::any_of(slots_, retried);
     }
     if (all)
     {
@@ -160,9 +155,13 @@
 steady_time basic_ownership<Rules>::next_wake() const
 {
     auto wake = std::min(next_tick_, next_renewal_);
-    if (retry_wanted_)
+    auto const retried = [this](slot_state const& state)
+    {
+        return wants_retry(state, next_retry_);
+    };
+    if (next_retry_ < wake && std::ranges::any_of(slots_, retried))
     {
-        wake = std::min(wake, next_retry_);
+        wake = next_retry_;
     }
     if (read_wanted_ && !read_running_)
     {
@@ -217,7 +216,6 @@
     if (is_owner(state))
     {
         next_retry_ = now.steady;
-        retry_wanted_ = true;
     }
 }
 
@@ -285,11 +283,6 @@
                                          effects& out)
 {
     auto& state = slots_[slot.value];
-    if (revision < state.stored.revision)
-    {
-        // Restored from an old copy: others may know newer versions.
-        in_sight_since_ = now.steady;
-    }
     state.stored = {true, revision, version};
     auto const concerned = is_owner(state) || is_witness(state);
     if (version < state.known.version && concerned)
--- a/dotterelrouter/ownership/ownership.hpp
+++ b/dotterelrouter/ownership/ownership.hpp
@@ -219,7 +219,6 @@
     /// Per the latest version known, lease apart.
     [[nodiscard]] bool owns(slot_id slot) const;
     [[nodiscard]] std::size_t owned_count() const;
-    /// Constant time.
     [[nodiscard]] steady_time next_wake() const;
 
     [[nodiscard]] std::size_t slot_count() const
@@ -346,7 +345,6 @@
     steady_time expecting_until_; ///< A swap to us is about to happen.
     steady_time next_renewal_;
     steady_time next_retry_;
-    bool retry_wanted_ = false; ///< Some slot waits for its first grant.
     steady_time next_tick_;
     steady_time next_plan_;
 };
--- a/dotterelrouter/runtime/internal/udp_batch.hpp
+++ b/dotterelrouter/runtime/internal/udp_batch.hpp
@@ -38,11 +38,10 @@
         return headers_.size();
     }
 
-    /// Makes all entries ready for recvmmsg, which filled the first `used`
-    /// of them the last time.
-    std::span<mmsghdr> for_receiving(std::size_t used)
+    /// Makes the first `count` entries ready for recvmmsg.
+    std::span<mmsghdr> for_receiving()
     {
-        for (std::size_t i = 0; i < used; ++i)
+        for (std::size_t i = 0; i < capacity(); ++i)
         {
             vectors_[i].iov_len = datagram_size_;
             headers_[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
--- a/dotterelrouter/runtime/udp_port.cpp
+++ b/dotterelrouter/runtime/udp_port.cpp
@@ -116,7 +116,6 @@
     /// Takes at most `settings.turn` datagrams, then lets others work.
     void receive()
     {
-        receiving = true;
         std::size_t taken = 0;
         std::size_t last = incoming.capacity();
         while (taken < settings.turn && last == incoming.capacity())
@@ -124,20 +123,18 @@
             last = receive_batch();
             taken += last;
         }
-        receiving = false;
         flush();
     }
 
     std::size_t receive_batch()
     {
-        auto const headers = incoming.for_receiving(filled);
+        auto const headers = incoming.for_receiving();
         auto const count = ::recvmmsg(socket.descriptor(),
                                       headers.data(),
                                       static_cast<unsigned>(headers.size()),
                                       MSG_DONTWAIT,
                                       nullptr);
         auto const size = count > 0 ? static_cast<std::size_t>(count) : 0U;
-        filled = size;
         for (std::size_t i = 0; i < size; ++i)
         {
             hand_over(i);
@@ -163,7 +160,7 @@
             ++statistics.dropped_oversized;
             return false;
         }
-        if (waiting == 0 && !receiving)
+        if (waiting == 0)
         {
             event_active(unsent.get(), EV_TIMEOUT, 0);
         }
@@ -222,8 +219,6 @@
     udp_batch incoming;
     udp_batch outgoing;
     std::size_t waiting = 0;
-    std::size_t filled = incoming.capacity(); ///< By the last recvmmsg.
-    bool receiving = false; ///< What is sent meanwhile leaves at its end.
     udp_port_statistics statistics;
     event_pointer readable;
     event_pointer unsent;
--- a/measure/internal/policies.hpp
+++ b/measure/internal/policies.hpp
@@ -128,7 +128,15 @@
                  instant now,
                  std::vector<decision>& out);
 
+    /// A request that waits, and what was chosen for a flow that stays.
+    struct waiting_request
+    {
+        offered asked;
+        std::optional<placement> placed;
+    };
+
     std::optional<placement> place(offered const& asked, instant now) const;
+    void forget(waiting_request const& request);
 
     configuration const& declared_;
     double share_;
@@ -136,7 +144,7 @@
     health servers_;
     flow_length_estimator lengths_;
     flow_work work_;
-    std::vector<offered> waiting_; ///< By ticket.
+    std::vector<waiting_request> waiting_; ///< By ticket.
     std::vector<std::uint32_t> free_tickets_;
     std::vector<dropped_request> dropped_;
     effects ignored_;
