--- a/dotterelrouter/ownership/ownership.hpp
+++ b/dotterelrouter/ownership/ownership.hpp
@@ -96,7 +96,7 @@
     slot_id slot;
     member_id to;
     assignment_version version;
-    wall_time held_since; ///< For handover_message.
+    wall_time held_since; ///< For handover_message; max(): never held.
 };
 
 /// The rules that keep a right with one member; tests turn them off.
