--- a/testing/process/process_test.cpp
+++ b/testing/process/process_test.cpp
@@ -19,6 +19,7 @@
 /// Longer than a lease and the margins on it.
 constexpr seconds past_lease{8};
 /// How long callers issue requests.
+constexpr seconds list_reading_time{6};
 constexpr seconds load_time{6};
 /// A leaving server may get new flows for so long.
 constexpr seconds leaving_limit{3};
@@ -160,6 +161,28 @@
     CHECK_TRUE(before > 0);
 }
 
+TEST(process, platform_outage_breaks_nothing)
+{
+    // The VM is listed before its process starts, as peers find it by the
+    // list and the process itself can't read it.
+    site.list_vms(std::array<balancer_number, 5>{1, 2, 3, 4, 5});
+    std::this_thread::sleep_for(list_reading_time);
+    site.start_callers(load_time + seconds{4});
+    await_calls(50);
+    site.set_platform_outage(true);
+    site.start_balancer(5);
+    CHECK_TRUE(wait_until(
+        [this]
+        {
+            auto const report = site.report_of(5);
+            return report && report->epoch == 1;
+        }));
+    std::this_thread::sleep_for(seconds{4});
+    site.set_platform_outage(false);
+    site.await_callers();
+    check_all_answered();
+}
+
 TEST(process, balancer_restarted_at_its_address_joins_again)
 {
     site.start_callers(load_time + seconds{4});
