Place flows in the balancer by the work of open flows

Cause: the reducer placed flows that stay by requests in progress, which are 0 or 1 a server, and its retries did not name their kind.

Change: flow_work counts the flows of owned slots (opened, ended, expired, taken over, lost); single requests go by single_request_load; may_retry gets the kind.

--- a/dotterelrouter/balancer/internal/request_arrival_impl.hpp
+++ b/dotterelrouter/balancer/internal/request_arrival_impl.hpp
@@ -23,6 +23,7 @@
 {
     health_.configure(*at.config, at.now);
     admission_.configure(*at.config, share, at.now);
+    share_ = share;
     drop_expired(at);
     pump(at);
 }
@@ -31,6 +32,7 @@
 void request_path<Rules>::set_share(double share)
 {
     admission_.set_balancer_share(share);
+    share_ = share;
 }
 
 template <class Rules>
@@ -380,6 +382,7 @@
     {
         at.out.emplace_back(send_request{server->where, packet});
     }
+    note_ended(packet.key.flow, entry->server, at);
     flows_.erase(packet.key.flow);
     at.out.emplace_back(count{counter::flows_ended});
 }
--- a/dotterelrouter/balancer/internal/request_outcome_impl.hpp
+++ b/dotterelrouter/balancer/internal/request_outcome_impl.hpp
@@ -11,9 +11,11 @@
 namespace internal
 {
 
-/// Loads as routing::choose wants them; full servers are left out.
-struct routing_loads
+/// Loads for the choice of a flow that stays; full servers are left out.
+struct flow_loads
 {
+    configuration const& declared;
+    flow_work const& work;
     admission const& gate;
     health const& servers;
     instant now;
@@ -25,7 +27,7 @@
 
     [[nodiscard]] double load(server_id server) const
     {
-        return gate.load(server);
+        return work.expected(server) / declared.find_server(server)->slots;
     }
 
     [[nodiscard]] double weight(server_id server) const
@@ -34,7 +36,37 @@
     }
 };
 
-static_assert(server_loads<routing_loads>);
+/// Loads for the choice of a flow of a single request.
+struct request_loads
+{
+    flow_loads flows;
+    double share; ///< Part of all flows that this balancer has.
+
+    [[nodiscard]] bool usable(server_id server) const
+    {
+        return flows.usable(server);
+    }
+
+    [[nodiscard]] double load(server_id server) const
+    {
+        constexpr double least_part = 1e-3;
+        auto const slots = flows.declared.find_server(server)->slots;
+        auto const part = std::max(share * slots, least_part);
+        auto const recent = flows.work.recent(server, flows.now.steady);
+        return single_request_load(
+            {.in_progress = flows.gate.load(server),
+             .recent = recent / part,
+             .reported = flows.servers.reported_load(server, flows.now)});
+    }
+
+    [[nodiscard]] double weight(server_id server) const
+    {
+        return flows.weight(server);
+    }
+};
+
+static_assert(server_loads<flow_loads>);
+static_assert(server_loads<request_loads>);
 
 } // namespace internal
 
@@ -62,7 +94,9 @@
     {
         return;
     }
-    internal::routing_loads const loads{admission_, health_, at.now};
+    internal::flow_loads const flows{
+        *at.config, work_, admission_, health_, at.now};
+    internal::request_loads const requests{flows, share_};
     auto const pick =
         [&](queued_request const& request) -> std::optional<server_id>
     {
@@ -70,12 +104,13 @@
         auto const* from = at.config->find_service(request.service);
         if (!at.slots.owns(pending.slot))
         {
-            return choose_for_owner(pending, *from, loads);
+            return choose_for_owner(pending, *from, flows);
         }
-        auto const placed = choose(*from,
-                                   pending.packet.key.flow,
-                                   lengths_.expected(request.kind),
-                                   loads);
+        auto const key = pending.packet.key.flow;
+        auto const length = lengths_.expected(request.kind);
+        auto const placed = length == flow_length::many
+                                ? choose(*from, key, length, flows)
+                                : choose(*from, key, length, requests);
         return placed ? std::optional{placed->server} : std::nullopt;
     };
     admitted next;
@@ -100,6 +135,7 @@
         enqueue(ticket, false, at);
         return;
     }
+    work_.on_sent(next.server, next.kind, at.now.steady);
     pending.stage = request_stage::sent;
     pending.server = next.server;
     pending.sent = at.now.steady;
@@ -163,6 +199,7 @@
         return;
     }
     entry->touch(at.now.steady);
+    note_opened(key, request.server, at);
     auto const* from = at.config->find_service(request.service);
     entry->deviates = successor_choice(*from, key) != request.server;
     auto const* server = at.config->find_server(request.server);
@@ -322,6 +359,7 @@
     if (flow != nullptr && flow->requests <= 1 && pending.opens_flow)
     {
         // Nothing of the flow ran at that server yet.
+        note_ended(pending.packet.key.flow, flow->server, at);
         flows_.erase(pending.packet.key.flow);
     }
     ++pending.packet.attempt;
@@ -336,7 +374,7 @@
     return !pending.cancelled &&
            pending.packet.attempt + 1 < settings_.max_attempts &&
            at.now.wall < pending.packet.deadline && may_send(pending, at) &&
-           admission_.may_retry(pending.service);
+           admission_.may_retry(pending.service, pending.kind);
 }
 
 template <class Rules>
@@ -358,9 +396,34 @@
                                         flow->server.value,
                                         "its server is gone"});
     }
+    note_ended(key, flow->server, at);
     flows_.erase(key);
 }
 
+template <class Rules>
+void request_path<Rules>::note_opened(flow_key flow,
+                                      server_id server,
+                                      context const& at)
+{
+    auto const* address = at.config->find_address(flow.service_address);
+    if (address != nullptr && owned_[slot_of(flow, owned_.size()).value])
+    {
+        work_.on_opened(server, address->kind);
+    }
+}
+
+template <class Rules>
+void request_path<Rules>::note_ended(flow_key flow,
+                                     server_id server,
+                                     context const& at)
+{
+    auto const* address = at.config->find_address(flow.service_address);
+    if (address != nullptr && owned_[slot_of(flow, owned_.size()).value])
+    {
+        work_.on_ended(server, address->kind);
+    }
+}
+
 template <class Rules>
 void request_path<Rules>::end_try(request_ticket ticket,
                                   try_outcome outcome,
@@ -368,6 +431,10 @@
 {
     auto const& pending = pool_[ticket];
     auto const latency = at.now.steady - pending.sent;
+    if (outcome == try_outcome::ok)
+    {
+        work_.on_work(pending.kind, latency, at.now.steady);
+    }
     admission_.on_finished(
         pending.server, pending.kind, outcome, latency, at.now);
     health_.on_outcome(pending.server, outcome, latency, at.now, at.out);
--- a/dotterelrouter/balancer/internal/request_path.hpp
+++ b/dotterelrouter/balancer/internal/request_path.hpp
@@ -210,6 +210,11 @@
     void retry_or_refuse(request_ticket ticket, reason why, context const& at);
     [[nodiscard]] bool may_retry(pending_request const& pending,
                                  context const& at);
+    /// Counts a flow's opening or end as work of its server, if its slot is
+    /// owned.
+    void note_slot(slot_id slot, bool opened, context const& at);
+    void note_opened(flow_key flow, server_id server, context const& at);
+    void note_ended(flow_key flow, server_id server, context const& at);
     void release_flow(pending_request const& request,
                       counter cause,
                       context const& at);
@@ -255,6 +260,8 @@
     request_records records_;
     flow_table flows_;
     flow_length_estimator lengths_;
+    flow_work work_; ///< Of the flows in owned slots.
+    double share_ = 1;
     admission admission_;
     health health_;
     expiry_queue expiries_;
--- a/dotterelrouter/balancer/internal/slot_handover_impl.hpp
+++ b/dotterelrouter/balancer/internal/slot_handover_impl.hpp
@@ -244,9 +244,20 @@
         auto const owns = at.slots.owns(slot);
         if (owned_[index] && !owns)
         {
+            note_slot(slot, false, at);
             flows_.erase_slot(slot);
         }
+        if (owned_[index] != owns)
+        {
+            // The handover that was expected is over, or long past.
+            incoming_[index].complete = {};
+        }
+        auto const gained = owns && !owned_[index];
         owned_[index] = owns;
+        if (gained)
+        {
+            note_slot(slot, true, at);
+        }
     }
 }
 
@@ -311,10 +322,29 @@
                   {
                       at.out.emplace_back(count{counter::flows_ended});
                       note_length(flow, at);
+                      note_ended(flow.key(), flow.server, at);
                   });
     copy_placements(at);
 }
 
+template <class Rules>
+void request_path<Rules>::note_slot(slot_id slot,
+                                    bool opened,
+                                    context const& at)
+{
+    if (at.config == nullptr)
+    {
+        return;
+    }
+    flows_.for_each_in_slot(slot,
+                            [&](flow_entry const& flow)
+                            {
+                                opened
+                                    ? note_opened(flow.key(), flow.server, at)
+                                    : note_ended(flow.key(), flow.server, at);
+                            });
+}
+
 template <class Rules>
 void request_path<Rules>::note_length(flow_entry const& flow, context const& at)
 {
--- a/testing/fleet/fleet_faults_impl.hpp
+++ b/testing/fleet/fleet_faults_impl.hpp
@@ -134,7 +134,12 @@
         store_down_until_ = now_ + random_up_to(std::chrono::seconds{15});
     }
     // An accepted configuration that nobody has read yet would be lost.
-    auto const read = now_ > accepted_at_ + std::chrono::seconds{5};
+    auto const read = std::ranges::any_of(
+        nodes_,
+        [this](node const& state)
+        {
+            return state.alive && state.epoch == epoch_number{epoch_};
+        });
     if (old_copy_.manifest != nullptr && read && happens(how_.old_copies))
     {
         store_.manifest = old_copy_.manifest;
