--- a/dotterelrouter/balancer/internal/request_arrival_impl.hpp
+++ b/dotterelrouter/balancer/internal/request_arrival_impl.hpp
@@ -182,6 +182,12 @@
     {
         return at.members.find(*owner);
     }
+    // The witness may reach the owner, and was told where its flows are.
+    auto const witness = at.slots.witness_of(slot);
+    if (witness && *witness != self_ && at.members.reachable(*witness))
+    {
+        return at.members.find(*witness);
+    }
     if (!newly_started(at.now))
     {
         return nullptr;
