Take logs of test runs out of the tree; give HTTP calls a library of their own

Tests now write below the temporary folder. The client of the own store protocol is dotterelrouter/store_client: the name platform is for the folder that translates for the users' platform.

--- a/dotterelrouter/command/fleet_pages.cpp
+++ b/dotterelrouter/command/fleet_pages.cpp
@@ -1,6 +1,6 @@
 #include "dotterelrouter/command/internal/fleet_view.hpp"
 
-#include "dotterelrouter/platform/platform.hpp"
+#include "dotterelrouter/store_client/store_client.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/dotterelrouter/command/internal/operator_process.hpp
+++ b/dotterelrouter/command/internal/operator_process.hpp
@@ -7,8 +7,8 @@
 
 #include "dotterelrouter/codec/codec.hpp"
 #include "dotterelrouter/command/internal/fleet_view.hpp"
-#include "dotterelrouter/platform/platform.hpp"
 #include "dotterelrouter/runtime/runtime.hpp"
+#include "dotterelrouter/store_client/store_client.hpp"
 
 #include <iostream>
 #include <list>
--- a/dotterelrouter/platform/internal/http_client.hpp
+++ b/dotterelrouter/http/http.hpp
@@ -1,11 +1,11 @@
-// Calls over HTTP on a libevent loop. Include
-// "dotterelrouter/platform/platform.hpp".
+// HTTP calls on a libevent loop, and addresses as text.
 //
 //     http_client calls(loop, {.max_calls = 8});
 //     calls.start({.to = where, .path = "/vms"}, context, &on_response);
 #pragma once
 
 #include "dotterelrouter/core/core.hpp"
+#include "dotterelrouter/http/internal/address_text.hpp"
 
 #include <cstddef>
 #include <memory>
--- a/dotterelrouter/platform/http_client.cpp
+++ b/dotterelrouter/http/http_client.cpp
@@ -1,6 +1,4 @@
-#include "dotterelrouter/platform/internal/http_client.hpp"
-
-#include "dotterelrouter/platform/internal/store_protocol.hpp"
+#include "dotterelrouter/http/http.hpp"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
--- a/dotterelrouter/runtime/internal/balancer_process.hpp
+++ b/dotterelrouter/runtime/internal/balancer_process.hpp
@@ -7,7 +7,6 @@
 
 #include "dotterelrouter/codec/codec.hpp"
 #include "dotterelrouter/core/core.hpp"
-#include "dotterelrouter/platform/platform.hpp"
 #include "dotterelrouter/runtime/internal/balancer_process_settings.hpp"
 #include "dotterelrouter/runtime/internal/event_loop.hpp"
 #include "dotterelrouter/runtime/internal/http_port.hpp"
@@ -17,6 +16,7 @@
 #include "dotterelrouter/runtime/internal/status_page.hpp"
 #include "dotterelrouter/runtime/internal/timer.hpp"
 #include "dotterelrouter/runtime/internal/udp_port.hpp"
+#include "dotterelrouter/store_client/store_client.hpp"
 #include "dotterelrouter/telemetry/telemetry.hpp"
 
 #include <chrono>
--- a/dotterelrouter/platform/internal/platform_calls.hpp
+++ b/dotterelrouter/store_client/internal/platform_calls.hpp
@@ -1,9 +1,9 @@
 // The part of platform_client that does not depend on the sink. Include
-// "dotterelrouter/platform/platform.hpp".
+// "dotterelrouter/store_client/store_client.hpp".
 #pragma once
 
 #include "dotterelrouter/core/core.hpp"
-#include "dotterelrouter/platform/internal/http_client.hpp"
+#include "dotterelrouter/http/http.hpp"
 
 #include <cstddef>
 #include <memory>
--- a/dotterelrouter/platform/internal/store_protocol.hpp
+++ b/dotterelrouter/store_client/internal/store_protocol.hpp
@@ -1,5 +1,5 @@
 // How the platform's HTTP interface is spoken: paths, keys and bodies.
-// Include "dotterelrouter/platform/platform.hpp".
+// Include "dotterelrouter/store_client/store_client.hpp".
 //
 //     GET  /keys/KEY                      value, ETag is the revision; 404
 //     GET  /keys/KEY?watch=REV&timeout=MS waits while the revision is REV; 304
@@ -63,11 +63,4 @@
 /// The VMs of a body; nothing if it is malformed.
 std::optional<std::vector<listed_vm>> parse_vm_list(byte_view body);
 
-/// Number of a text of decimal digits; nothing if it is anything else.
-std::optional<std::uint64_t> parse_number(std::string_view text);
-/// Address of a text such as 127.0.0.1; nothing if it is anything else.
-std::optional<std::uint32_t> parse_ip(std::string_view text);
-/// Text of an address.
-std::string ip_to_string(std::uint32_t ip);
-
 } // namespace dotterelrouter
--- a/dotterelrouter/platform/platform_calls.cpp
+++ b/dotterelrouter/store_client/platform_calls.cpp
@@ -1,7 +1,7 @@
-#include "dotterelrouter/platform/internal/platform_calls.hpp"
+#include "dotterelrouter/store_client/internal/platform_calls.hpp"
 
 #include "dotterelrouter/codec/codec.hpp"
-#include "dotterelrouter/platform/internal/store_protocol.hpp"
+#include "dotterelrouter/store_client/internal/store_protocol.hpp"
 
 #include <list>
 #include <string>
--- a/dotterelrouter/platform/platform.hpp
+++ b/dotterelrouter/store_client/store_client.hpp
@@ -12,9 +12,9 @@
 #pragma once
 
 #include "dotterelrouter/core/core.hpp"
-#include "dotterelrouter/platform/internal/http_client.hpp"
-#include "dotterelrouter/platform/internal/platform_calls.hpp"
-#include "dotterelrouter/platform/internal/store_protocol.hpp"
+#include "dotterelrouter/http/http.hpp"
+#include "dotterelrouter/store_client/internal/platform_calls.hpp"
+#include "dotterelrouter/store_client/internal/store_protocol.hpp"
 
 namespace dotterelrouter
 {
--- a/dotterelrouter/platform/store_protocol.cpp
+++ b/dotterelrouter/store_client/store_protocol.cpp
@@ -1,4 +1,6 @@
-#include "dotterelrouter/platform/internal/store_protocol.hpp"
+#include "dotterelrouter/store_client/internal/store_protocol.hpp"
+
+#include "dotterelrouter/http/http.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -11,8 +13,6 @@
 {
 
 constexpr std::string_view chunks_prefix = "configuration/chunks/";
-constexpr int octets = 4;
-constexpr int max_octet = 255;
 constexpr int hex_base = 16;
 constexpr std::size_t hex_digits = 16;
 
@@ -163,40 +163,4 @@
     return vms;
 }
 
-std::optional<std::uint64_t> parse_number(std::string_view text)
-{
-    std::uint64_t value = 0;
-    auto const* const end = text.data() + text.size();
-    auto const parsed = std::from_chars(text.data(), end, value);
-    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end)
-    {
-        return std::nullopt;
-    }
-    return value;
-}
-
-std::optional<std::uint32_t> parse_ip(std::string_view text)
-{
-    std::uint32_t ip = 0;
-    for (int i = 0; i < octets; ++i)
-    {
-        auto const part =
-            i + 1 < octets ? take_until(text, '.') : std::optional{text};
-        auto const value = part ? parse_number(*part) : std::nullopt;
-        if (!value || *value > max_octet)
-        {
-            return std::nullopt;
-        }
-        ip = ip << 8U | static_cast<std::uint32_t>(*value);
-    }
-    return ip;
-}
-
-std::string ip_to_string(std::uint32_t ip)
-{
-    return std::to_string(ip >> 24U) + '.' + std::to_string(ip >> 16U & 255U) +
-           '.' + std::to_string(ip >> 8U & 255U) + '.' +
-           std::to_string(ip & 255U);
-}
-
 } // namespace dotterelrouter
--- a/measure/relay/instant_platform.hpp
+++ b/measure/relay/instant_platform.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "dotterelrouter/config/config.hpp"
-#include "dotterelrouter/platform/platform.hpp"
+#include "dotterelrouter/store_client/store_client.hpp"
 
 #include <event2/event.h>
 
--- a/standins/platform/platform_state.hpp
+++ b/standins/platform/platform_state.hpp
@@ -18,8 +18,8 @@
 // A lost answer's call takes effect. Not synchronised.
 #pragma once
 
-#include "dotterelrouter/platform/platform.hpp"
 #include "dotterelrouter/runtime/runtime.hpp"
+#include "dotterelrouter/store_client/store_client.hpp"
 
 #include <map>
 #include <optional>
--- a/testing/process/configuration_writer.cpp
+++ b/testing/process/configuration_writer.cpp
@@ -1,7 +1,7 @@
 #include "testing/process/configuration_writer.hpp"
 
-#include "dotterelrouter/platform/platform.hpp"
 #include "dotterelrouter/runtime/runtime.hpp"
+#include "dotterelrouter/store_client/store_client.hpp"
 
 #include <stdexcept>
 
--- a/testing/process/deployment.cpp
+++ b/testing/process/deployment.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <random>
 #include <stdexcept>
@@ -50,7 +51,8 @@
 
 std::string make_folder()
 {
-    std::string name = "process_test_XXXXXX";
+    auto name = (std::filesystem::temp_directory_path() / "process_test_XXXXXX")
+                    .string();
     if (mkdtemp(name.data()) == nullptr)
     {
         throw std::runtime_error("no folder for the logs");
