--- a/cmake/dotterelrouter.cmake
+++ b/cmake/dotterelrouter.cmake
@@ -26,6 +26,9 @@
 # A CppUTest program registered with ctest. Each test program gets its main
 # from testing/test_main.cpp.
 function(dotterelrouter_test name)
+  if(NOT DOTTERELROUTER_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES}
                          ${CMAKE_SOURCE_DIR}/testing/test_main.cpp)
--- a/dotterelrouter/codec/codec.hpp
+++ b/dotterelrouter/codec/codec.hpp
@@ -11,6 +11,7 @@
 // A codec object holds buffers that it reuses, so it belongs to one thread.
 #pragma once
 
+#include "dotterelrouter/codec/internal/replication_codec.hpp"
 #include "dotterelrouter/config/config.hpp"
 #include "dotterelrouter/core/core.hpp"
 
--- a/dotterelrouter/command/command.cpp
+++ b/dotterelrouter/command/command.cpp
@@ -3,6 +3,7 @@
 #include "dotterelrouter/command/internal/inventory.hpp"
 #include "dotterelrouter/command/internal/operator_process.hpp"
 #include "dotterelrouter/command/internal/options.hpp"
+#include "platform/platform.hpp"
 
 #include <array>
 #include <fstream>
@@ -59,6 +60,8 @@
 constexpr std::string_view usage =
     "usage: dotterelrouter COMMAND [FLAG...]\n"
     "  balancer  run a balancer\n"
+    "  forward   run a forwarder on the platform, by its settings file\n"
+    "  settings  check that settings file and print what it says\n"
     "  apply     declare a register export and rules\n"
     "  check     the same without writing\n"
     "  show      what is declared, and in force on each balancer\n"
@@ -90,6 +93,26 @@
     return run_balancer(settings);
 }
 
+int forward()
+{
+    return forwarder_process<platform::adapter>(
+               platform::adapter::read_settings())
+        .run();
+}
+
+int print_settings()
+{
+    auto const read = platform::adapter::read_settings();
+    std::cout << "vm " << read.vm << "\ndata centre " << read.data_centre
+              << "\npackets " << to_string(read.packets) << "\nreadiness "
+              << to_string(read.readiness) << "\ncontrol "
+              << to_string(read.control) << "\nheartbeats "
+              << to_string(read.peers) << "\nmetrics "
+              << to_string(read.metrics) << "\nstore "
+              << to_string(read.store) << '\n';
+    return exit_done;
+}
+
 std::string read_file(std::string_view name)
 {
     std::ifstream file{std::string(name), std::ios::binary};
@@ -181,6 +204,10 @@
     {
         return view_options;
     }
+    if (name == "forward" || name == "settings")
+    {
+        return {};
+    }
     throw usage_error("'" + std::string(name) + "' is no command\n" +
                       std::string(usage));
 }
@@ -197,6 +224,14 @@
     {
         return balancer(options);
     }
+    if (name == "forward")
+    {
+        return forward();
+    }
+    if (name == "settings")
+    {
+        return print_settings();
+    }
     if (name == "apply" || name == "check")
     {
         return apply(options, name == "check");
@@ -227,6 +262,11 @@
         std::cerr << error.what() << '\n';
         return exit_usage;
     }
+    catch (platform::settings_error const& error)
+    {
+        std::cerr << error.what() << '\n';
+        return exit_usage;
+    }
     catch (input_error const& error)
     {
         std::cerr << error.what() << '\n';
--- a/dotterelrouter/command/options.cpp
+++ b/dotterelrouter/command/options.cpp
@@ -84,19 +84,12 @@
 
 endpoint option_values::where(std::string_view name) const
 {
-    auto const written = text(name);
-    auto const colon = written.find(':');
-    if (colon == std::string_view::npos)
+    auto const where = parse_endpoint(text(name));
+    if (!where)
     {
         refuse(name);
     }
-    auto const ip = parse_ip(written.substr(0, colon));
-    auto const port = parse_number(written.substr(colon + 1));
-    if (!ip || !port || *port > UINT16_MAX)
-    {
-        refuse(name);
-    }
-    return {*ip, static_cast<std::uint16_t>(*port)};
+    return *where;
 }
 
 bool option_values::on(std::string_view name) const
--- a/dotterelrouter/core/core.hpp
+++ b/dotterelrouter/core/core.hpp
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "dotterelrouter/core/internal/effects.hpp"
+#include "dotterelrouter/core/internal/endpoint_text.hpp"
 #include "dotterelrouter/core/internal/events.hpp"
 #include "dotterelrouter/core/internal/ids.hpp"
 #include "dotterelrouter/core/internal/messages.hpp"
--- a/dotterelrouter/http/address_text.cpp
+++ b/dotterelrouter/http/address_text.cpp
@@ -46,6 +46,22 @@
     return ip;
 }
 
+std::optional<endpoint> parse_endpoint(std::string_view text)
+{
+    auto const colon = text.find(':');
+    if (colon == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    auto const ip = parse_ip(text.substr(0, colon));
+    auto const port = parse_number(text.substr(colon + 1));
+    if (!ip || !port || *port > UINT16_MAX)
+    {
+        return std::nullopt;
+    }
+    return endpoint{*ip, static_cast<std::uint16_t>(*port)};
+}
+
 std::string ip_to_string(std::uint32_t ip)
 {
     return std::to_string(ip >> 24U) + '.' + std::to_string(ip >> 16U & 255U) +
--- /dev/null
+++ b/dotterelrouter/reachability/reachability.cpp
@@ -0,0 +1,135 @@
+#include "dotterelrouter/reachability/reachability.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace dotterelrouter
+{
+namespace
+{
+
+/// Unanswered handshakes in a row after which a server is suspected.
+constexpr int server_limit = 2;
+/// The same for a data centre, over its servers.
+constexpr int data_centre_limit = 3;
+/// The same for one whose forwarders are silent too.
+constexpr int silent_data_centre_limit = 1;
+
+constexpr duration first_pause = std::chrono::milliseconds{500};
+constexpr duration longest_pause = std::chrono::seconds{4};
+
+void log_subject(decision what, std::uint32_t id, forwarder_effects& out)
+{
+    out.push_back(log_decision{.what = what, .subject = std::to_string(id)});
+}
+
+} // namespace
+
+void reachability::raise(suspicion& of, int limit, instant now)
+{
+    ++of.unanswered;
+    if (of.unanswered < limit)
+    {
+        return;
+    }
+    of.pause = of.suspected ? std::min(of.pause * 2, longest_pause)
+                            : first_pause;
+    of.suspected = true;
+    of.test_at = now.steady + of.pause;
+}
+
+void reachability::on_unanswered(server_id server,
+                                 data_centre_id data_centre,
+                                 instant now,
+                                 forwarder_effects& out)
+{
+    auto& one = servers_[server];
+    auto const known = one.suspected;
+    raise(one, server_limit, now);
+    if (one.suspected && !known)
+    {
+        log_subject(decision::server_suspected, server.value, out);
+    }
+    if (data_centre == own_)
+    {
+        return;
+    }
+    auto& around = data_centres_[data_centre];
+    auto const known_around = around.suspected;
+    raise(around,
+          around.silent ? silent_data_centre_limit : data_centre_limit,
+          now);
+    // A test of one server at a time is enough for its data centre.
+    around.pause = std::min(around.pause, first_pause);
+    if (around.suspected && !known_around)
+    {
+        log_subject(decision::data_centre_suspected, data_centre.value, out);
+    }
+}
+
+void reachability::on_opened(server_id server,
+                             data_centre_id data_centre,
+                             forwarder_effects& out)
+{
+    if (auto const found = servers_.find(server); found != servers_.end())
+    {
+        if (found->second.suspected)
+        {
+            log_subject(decision::server_answers, server.value, out);
+        }
+        servers_.erase(found);
+    }
+    auto const around = data_centres_.find(data_centre);
+    if (around == data_centres_.end())
+    {
+        return;
+    }
+    if (around->second.suspected)
+    {
+        log_subject(decision::data_centre_answers, data_centre.value, out);
+    }
+    auto const silent = around->second.silent;
+    around->second = {.silent = silent};
+}
+
+void reachability::on_started(server_id server)
+{
+    servers_.erase(server);
+}
+
+void reachability::on_silent(data_centre_id data_centre, bool silent)
+{
+    data_centres_[data_centre].silent = silent;
+}
+
+bool reachability::usable(server_id server,
+                          data_centre_id data_centre,
+                          instant now) const
+{
+    auto const allows = [now](suspicion const& one)
+    {
+        return !one.suspected || now.steady >= one.test_at;
+    };
+    auto const one = servers_.find(server);
+    auto const around = data_centres_.find(data_centre);
+    return (one == servers_.end() || allows(one->second)) &&
+           (around == data_centres_.end() || allows(around->second));
+}
+
+void reachability::on_sent(server_id server,
+                           data_centre_id data_centre,
+                           instant now)
+{
+    auto const postpone = [now](auto& map, auto const& key)
+    {
+        auto const found = map.find(key);
+        if (found != map.end() && found->second.suspected)
+        {
+            found->second.test_at = now.steady + found->second.pause;
+        }
+    };
+    postpone(servers_, server);
+    postpone(data_centres_, data_centre);
+}
+
+} // namespace dotterelrouter
--- /dev/null
+++ b/dotterelrouter/reachability/reachability.hpp
@@ -0,0 +1,74 @@
+// Which backend servers open flows when asked, as far as callers' packets
+// tell. Include "dotterelrouter/reachability/reachability.hpp".
+//
+//     reachability seen(own_data_centre);
+//     seen.on_unanswered(server, data_centre, now, out);
+//     seen.on_opened(server, data_centre, now, out);
+//     if (seen.usable(server, data_centre, now)) { ... }
+//
+// `health` judges servers by the outcome of requests; on the forwarding path
+// answers go directly to callers, so that only handshakes are seen. Several
+// servers of one data centre that don't answer speak of the data centre, and
+// its first answer says that it is back. Not synchronised.
+#pragma once
+
+#include "dotterelrouter/forwarding/forwarding.hpp"
+
+#include <unordered_map>
+
+namespace dotterelrouter
+{
+
+/// Follows who answers handshakes.
+class reachability
+{
+public:
+    explicit reachability(data_centre_id own) : own_(own)
+    {
+    }
+
+    /// A server did not open a flow in the usual time.
+    void on_unanswered(server_id server,
+                       data_centre_id data_centre,
+                       instant now,
+                       forwarder_effects& out);
+
+    /// A caller acknowledged a server's handshake.
+    void on_opened(server_id server,
+                   data_centre_id data_centre,
+                   forwarder_effects& out);
+
+    /// A server started anew: what it did before says nothing.
+    void on_started(server_id server);
+
+    /// No forwarder of a data centre is heard any more, though some were.
+    void on_silent(data_centre_id data_centre, bool silent);
+
+    /// False while a server or its data centre is suspected. True for the
+    /// flow that is to test whether it answers again.
+    [[nodiscard]] bool usable(server_id server,
+                              data_centre_id data_centre,
+                              instant now) const;
+
+    /// A flow was sent there: the next test of a suspect is due later.
+    void on_sent(server_id server, data_centre_id data_centre, instant now);
+
+private:
+    /// Unanswered handshakes in a row, and when to test again.
+    struct suspicion
+    {
+        int unanswered = 0;
+        bool silent = false;
+        bool suspected = false;
+        duration pause{};
+        steady_time test_at{};
+    };
+
+    static void raise(suspicion& of, int limit, instant now);
+
+    data_centre_id own_;
+    std::unordered_map<server_id, suspicion> servers_;
+    std::unordered_map<data_centre_id, suspicion> data_centres_;
+};
+
+} // namespace dotterelrouter
--- /dev/null
+++ b/dotterelrouter/replication/internal/peers.hpp
@@ -0,0 +1,109 @@
+// The other forwarders. Include "dotterelrouter/replication/replication.hpp".
+#pragma once
+
+#include "dotterelrouter/forwarding/forwarding.hpp"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace dotterelrouter
+{
+
+/// How often heartbeats are sent.
+inline constexpr duration heartbeat_interval = std::chrono::milliseconds{250};
+
+/// Who this forwarder is, and whom it asks first.
+struct peers_settings
+{
+    endpoint self{}; ///< Where heartbeats arrive; the port is the same on all.
+    data_centre_id data_centre{};
+    std::uint64_t incarnation = 0;
+    std::vector<endpoint> seeds{};
+};
+
+/// What is known of another forwarder.
+struct peer
+{
+    std::optional<steady_time> heard{}; ///< None: known by name only.
+    steady_time known_since{};
+    std::uint64_t incarnation = 0;
+    data_centre_id data_centre{};
+    bool live = false;
+    bool store_reachable = false;
+    bool leaving = false;
+    std::optional<steady_time> asked{}; ///< A question is open since then.
+    std::vector<server_load> loads{};
+};
+
+/// What a heartbeat asks of its receiver.
+struct heartbeat_outcome
+{
+    bool behind = false;   ///< The sender's directory is ahead: ask it.
+    bool newcomer = false; ///< The sender was not heard before or restarted.
+};
+
+/// Follows the other forwarders by their heartbeats. Forwarders are found
+/// through seeds and through what others know.
+class peers
+{
+public:
+    explicit peers(peers_settings settings);
+
+    /// Takes a heartbeat. `own` is the revision of the own directory.
+    heartbeat_outcome on_heartbeat(endpoint from,
+                                   heartbeat const& message,
+                                   store_revision own,
+                                   instant now,
+                                   forwarder_effects& out);
+
+    /// Replaces the seeds.
+    void set_seeds(std::span<endpoint const> seeds, instant now);
+
+    /// Sends heartbeats if they are due, and drops peers that went silent.
+    /// `message` is completed with whom this forwarder knows.
+    void on_timer(heartbeat message, instant now, forwarder_effects& out);
+
+    /// Sends a heartbeat to all live peers now.
+    void tell_all(heartbeat message, instant now, forwarder_effects& out);
+
+    /// Sends a heartbeat to one forwarder.
+    void tell(endpoint to, heartbeat message, forwarder_effects& out) const;
+
+    [[nodiscard]] steady_time next_wake() const
+    {
+        return next_beat_;
+    }
+
+    /// True if this forwarder is among those that read the store.
+    [[nodiscard]] bool is_reader(bool store_reachable) const;
+
+    /// Notes an open question; false if one was asked too recently.
+    bool begin_question(endpoint peer, instant now);
+    void end_question(endpoint peer);
+
+    /// Somebody live, of the own data centre if possible.
+    [[nodiscard]] std::optional<endpoint> somebody() const;
+
+    /// Flows that live peers have at a server.
+    [[nodiscard]] std::uint32_t load_of(server_id server) const;
+
+    /// Data centres whose forwarders were heard, and if any is live.
+    [[nodiscard]] std::map<data_centre_id, bool> data_centres() const;
+
+private:
+    void add_known(endpoint where, instant now);
+    void drop_silent(instant now, forwarder_effects& out);
+    void set_loads(peer& of, std::span<server_load const> loads);
+    [[nodiscard]] std::vector<std::uint32_t> some_ips() const;
+
+    peers_settings settings_;
+    std::map<endpoint, peer> peers_{};
+    std::unordered_map<server_id, std::uint32_t> loads_{};
+    steady_time next_beat_{};
+    std::uint64_t beats_ = 0;
+};
+
+} // namespace dotterelrouter
--- a/dotterelrouter/runtime/event_loop.cpp
+++ b/dotterelrouter/runtime/event_loop.cpp
@@ -91,15 +91,4 @@
     event_base_loopbreak(base_.get());
 }
 
-std::string to_string(endpoint where)
-{
-    std::string text;
-    for (unsigned const shift : {24U, 16U, 8U, 0U})
-    {
-        text += std::to_string((where.ip >> shift) & 0xffU);
-        text += shift == 0 ? ':' : '.';
-    }
-    return text + std::to_string(where.port);
-}
-
 } // namespace dotterelrouter
--- a/dotterelrouter/runtime/internal/event_loop.hpp
+++ b/dotterelrouter/runtime/internal/event_loop.hpp
@@ -94,7 +94,4 @@
     int exit_code_ = 0;
 };
 
-/// Text of an endpoint, such as 127.0.0.1:4000.
-[[nodiscard]] std::string to_string(endpoint where);
-
 } // namespace dotterelrouter
--- a/dotterelrouter/runtime/internal/http_port.hpp
+++ b/dotterelrouter/runtime/internal/http_port.hpp
@@ -38,7 +38,7 @@
 {
     int status = 200;
     std::string_view content_type = "text/plain; charset=utf-8";
-    std::string_view body;
+    std::string_view body{};
 };
 
 /// Sizes of an HTTP port.
--- a/dotterelrouter/runtime/runtime.hpp
+++ b/dotterelrouter/runtime/runtime.hpp
@@ -25,9 +25,11 @@
 
 #include "dotterelrouter/runtime/internal/balancer_process_settings.hpp"
 #include "dotterelrouter/runtime/internal/event_loop.hpp"
+#include "dotterelrouter/runtime/internal/forwarder_process.hpp"
 #include "dotterelrouter/runtime/internal/http_port.hpp"
 #include "dotterelrouter/runtime/internal/peer_port.hpp"
 #include "dotterelrouter/runtime/internal/reducer_host.hpp"
+#include "dotterelrouter/runtime/internal/reload_signal.hpp"
 #include "dotterelrouter/runtime/internal/shutdown_signals.hpp"
 #include "dotterelrouter/runtime/internal/timer.hpp"
 #include "dotterelrouter/runtime/internal/udp_port.hpp"
--- a/dotterelrouter/telemetry/telemetry.hpp
+++ b/dotterelrouter/telemetry/telemetry.hpp
@@ -13,6 +13,9 @@
 // the time line cost no allocation.
 #pragma once
 
+#include "dotterelrouter/telemetry/internal/bounded_output.hpp"
+#include "dotterelrouter/telemetry/internal/decision_log.hpp"
+#include "dotterelrouter/telemetry/internal/forwarder_metrics.hpp"
 #include "dotterelrouter/telemetry/internal/log.hpp"
 #include "dotterelrouter/telemetry/internal/metrics.hpp"
 #include "dotterelrouter/telemetry/internal/names.hpp"
