--- a/dotterelrouter/command/command.cpp
+++ b/dotterelrouter/command/command.cpp
@@ -6,6 +6,7 @@
 #include "platform/platform.hpp"
 
 #include <array>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -93,11 +94,14 @@
     return run_balancer(settings);
 }
 
-int forward()
+[[noreturn]] void forward()
 {
-    return forwarder_process<platform::adapter>(
-               platform::adapter::read_settings())
-        .run();
+    forwarder_process<platform::adapter> process(
+        platform::adapter::read_settings());
+    auto const code = process.run();
+    // log4cplus waits for idle threads of its own when the process exits; a
+    // forwarder that has finished is to be gone at once.
+    std::_Exit(code);
 }
 
 int print_settings()
@@ -226,7 +230,7 @@
     }
     if (name == "forward")
     {
-        return forward();
+        forward();
     }
     if (name == "settings")
     {
