--- /dev/null
+++ b/dotterelrouter/replication/replication_test.cpp
@@ -0,0 +1,230 @@
+#include "dotterelrouter/replication/replication.hpp"
+
+#include "testing/forwarding/records.hpp"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+namespace dotterelrouter
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using testing::all;
+using testing::id_of;
+using testing::logged;
+
+constexpr std::uint16_t port = 7720;
+
+endpoint vm(std::uint32_t number)
+{
+    return {0x0a010000 + number, port};
+}
+
+// clang-format off
+TEST_GROUP(peers)
+{
+    instant now{steady_time{1h}, wall_time{1h}};
+    forwarder_effects out;
+    peers known{{.self = vm(1),
+                 .data_centre = {1},
+                 .incarnation = 1,
+                 .seeds = {vm(1), vm(2)}}};
+
+    heartbeat_outcome hear(std::uint32_t from, heartbeat message = {})
+    {
+        return known.on_heartbeat(vm(from), message, {10}, now, out);
+    }
+
+    std::vector<endpoint> beat()
+    {
+        forwarder_effects sent;
+        known.tell_all({}, now, sent);
+        std::vector<endpoint> to;
+        for (auto const& one : all<send_heartbeat>(sent))
+        {
+            to.push_back(one.to);
+        }
+        return to;
+    }
+};
+// clang-format on
+
+TEST(peers, seeds_are_called_until_they_answer_and_never_oneself)
+{
+    auto const to = beat();
+    LONGS_EQUAL(1, to.size());
+    CHECK(to.front() == vm(2));
+}
+
+TEST(peers, forwarders_that_others_know_are_called)
+{
+    hear(2, {.ips = {vm(3).ip, vm(1).ip}});
+    auto const to = beat();
+    CHECK(std::ranges::count(to, vm(3)) == 1);
+    CHECK(std::ranges::count(to, vm(1)) == 0);
+}
+
+TEST(peers, newcomer_and_restart_are_told)
+{
+    CHECK(hear(2, {.incarnation = 5}).newcomer);
+    CHECK(!hear(2, {.incarnation = 5}).newcomer);
+    CHECK(hear(2, {.incarnation = 6}).newcomer);
+}
+
+TEST(peers, directory_ahead_is_told)
+{
+    CHECK(!hear(2, {.revision = {10}}).behind);
+    CHECK(hear(2, {.revision = {11}}).behind);
+}
+
+TEST(peers, silent_peer_is_lost_with_its_load)
+{
+    hear(2, {.loads = {{id_of(1), 3}}});
+    LONGS_EQUAL(3, known.load_of(id_of(1)));
+    hear(2, {.loads = {{id_of(1), 2}}});
+    LONGS_EQUAL(2, known.load_of(id_of(1)));
+    now.steady += 1s;
+    known.on_timer({}, now, out);
+    LONGS_EQUAL(0, known.load_of(id_of(1)));
+    LONGS_EQUAL(1, logged(out, decision::peer_lost));
+    CHECK(!known.somebody().has_value());
+}
+
+TEST(peers, two_of_many_read_the_store)
+{
+    int readers = 0;
+    for (std::uint32_t self = 1; self <= 8; ++self)
+    {
+        peers view{{.self = vm(self), .data_centre = {1}, .seeds = {}}};
+        for (std::uint32_t from = 1; from <= 8; ++from)
+        {
+            view.on_heartbeat(vm(from), {}, {}, now, out);
+        }
+        readers += view.is_reader(true) ? 1 : 0;
+        CHECK(!view.is_reader(false));
+    }
+    LONGS_EQUAL(2, readers);
+}
+
+TEST(peers, who_is_turned_away_or_leaves_does_not_count_as_reader)
+{
+    for (std::uint32_t from = 2; from <= 8; ++from)
+    {
+        hear(from, {.store_reachable = from % 2 == 0, .leaving = from % 2 == 0});
+    }
+    CHECK(known.is_reader(true));
+}
+
+TEST(peers, question_is_not_repeated_while_it_is_open)
+{
+    hear(2);
+    CHECK(known.begin_question(vm(2), now));
+    CHECK(!known.begin_question(vm(2), now));
+    known.end_question(vm(2));
+    CHECK(known.begin_question(vm(2), now));
+    now.steady += 401ms;
+    CHECK(known.begin_question(vm(2), now));
+}
+
+// clang-format off
+TEST_GROUP(store_reader)
+{
+    instant now{steady_time{1h}, wall_time{1h}};
+    forwarder_effects out;
+    store_reader reader{1};
+
+    void run(std::uint64_t revision)
+    {
+        out.clear();
+        reader.run(true, {revision}, now, out);
+    }
+
+    void read_all(std::uint64_t through)
+    {
+        snapshot_page_read page;
+        page.update.through = {through};
+        CHECK(reader.on_page(page, out).has_value());
+    }
+};
+// clang-format on
+
+TEST(store_reader, reads_everything_then_watches)
+{
+    run(0);
+    LONGS_EQUAL(1, all<read_snapshot>(out).size());
+    run(0);
+    LONGS_EQUAL(0, all<read_snapshot>(out).size());
+    read_all(5);
+    run(5);
+    LONGS_EQUAL(5, all<watch_changes>(out).at(0).after.value);
+}
+
+TEST(store_reader, pages_make_one_whole_as_of_the_first)
+{
+    run(0);
+    snapshot_page_read page;
+    page.update.through = {5};
+    page.update.servers = {testing::server(1, 3)};
+    page.next_after = "k";
+    out.clear();
+    CHECK(!reader.on_page(page, out).has_value());
+    STRCMP_EQUAL("k", all<read_snapshot>(out).at(0).after.c_str());
+    page.update.through = {9};
+    page.update.servers = {testing::server(2, 8)};
+    page.next_after.clear();
+    auto const whole = reader.on_page(page, out);
+    LONGS_EQUAL(5, whole->through.value);
+    LONGS_EQUAL(2, whole->servers.size());
+    CHECK(whole->complete);
+}
+
+TEST(store_reader, lost_history_is_read_again_at_once)
+{
+    run(0);
+    read_all(5);
+    run(5);
+    reader.on_failure(store_failure::history_gone, now, out);
+    CHECK(reader.reachable(now));
+    run(5);
+    LONGS_EQUAL(1, all<read_snapshot>(out).size());
+}
+
+TEST(store_reader, watch_that_was_cut_is_followed_by_a_whole_read)
+{
+    run(0);
+    read_all(5);
+    run(5);
+    reader.on_failure(store_failure::timed_out, now, out);
+    now.steady += 2s;
+    run(5);
+    LONGS_EQUAL(1, all<read_snapshot>(out).size());
+}
+
+TEST(store_reader, pauses_grow_and_are_told_once)
+{
+    run(0);
+    reader.on_failure(store_failure::refused, now, out);
+    LONGS_EQUAL(1, logged(out, decision::store_lost));
+    CHECK(!reader.reachable(now));
+    run(0);
+    LONGS_EQUAL(0, all<read_snapshot>(out).size());
+    duration longest{};
+    for (int i = 0; i < 8; ++i)
+    {
+        auto const start = *reader.may_start_at();
+        longest = std::max(longest, duration{start - now.steady});
+        now.steady = start;
+        run(0);
+        LONGS_EQUAL(1, all<read_snapshot>(out).size());
+        reader.on_failure(store_failure::refused, now, out);
+        LONGS_EQUAL(0, logged(out, decision::store_lost));
+    }
+    CHECK(longest > 700ms);
+    CHECK(longest <= 1600ms);
+}
+
+} // namespace
+} // namespace dotterelrouter
