Take no silence after a pause as a sign about servers

Change: flows that a pause of the process crossed are no evidence and are not tried elsewhere; when most servers that should be reachable are suspected, the suspicion itself is distrusted.

--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -43,8 +43,7 @@
 
 std::uint64_t to_ms(duration length)
 {
-    auto const whole =
-        std::chrono::duration_cast<milliseconds>(length).count();
+    auto const whole = std::chrono::duration_cast<milliseconds>(length).count();
     return static_cast<std::uint64_t>(std::max<std::int64_t>(whole, 0));
 }
 
@@ -131,8 +130,7 @@
     out.data_centre.value = in.data_centre();
     out.started_ms = in.started_ms();
     out.revision.value = in.revision();
-    return narrow(in.port(), out.where.port) &&
-           narrow(in.slots(), out.slots) &&
+    return narrow(in.port(), out.where.port) && narrow(in.slots(), out.slots) &&
            narrow_enum(in.state(), server_state::gone, out.state) &&
            from_ms(in.cold_ms(), out.cold_for);
 }
@@ -153,9 +151,8 @@
     {
         out.add_ips(ip);
     }
-    for (auto const load :
-         std::span{message.loads}.first(std::min(message.loads.size(),
-                                                 most_loads)))
+    for (auto const load : std::span{message.loads}.first(
+             std::min(message.loads.size(), most_loads)))
     {
         out.add_load_servers(load.server.value);
         out.add_load_flows(load.flows);
--- a/dotterelrouter/codec/replication_codec_test.cpp
+++ b/dotterelrouter/codec/replication_codec_test.cpp
@@ -27,6 +27,7 @@
 TEST_GROUP(replication_codec)
 {
 };
+
 // clang-format on
 
 TEST(replication_codec, heartbeat_comes_back)
--- a/dotterelrouter/command/command.cpp
+++ b/dotterelrouter/command/command.cpp
@@ -112,8 +112,8 @@
               << to_string(read.readiness) << "\ncontrol "
               << to_string(read.control) << "\nheartbeats "
               << to_string(read.peers) << "\nmetrics "
-              << to_string(read.metrics) << "\nstore "
-              << to_string(read.store) << '\n';
+              << to_string(read.metrics) << "\nstore " << to_string(read.store)
+              << '\n';
     return exit_done;
 }
 
--- a/dotterelrouter/directory/directory.cpp
+++ b/dotterelrouter/directory/directory.cpp
@@ -282,8 +282,7 @@
                                           instant now) const
 {
     directory_update update{.through = revision_};
-    update.complete =
-        after != store_revision{} && after < forgotten_through_;
+    update.complete = after != store_revision{} && after < forgotten_through_;
     if (routes_ && (routes_->revision > after || update.complete))
     {
         update.routes = routes_;
@@ -293,9 +292,8 @@
         if (known.record.revision > after || update.complete)
         {
             auto& record = update.servers.emplace_back(known.record);
-            record.cold_for =
-                std::max(duration::zero(),
-                         duration{known.cold_until - now.steady});
+            record.cold_for = std::max(duration::zero(),
+                                       duration{known.cold_until - now.steady});
         }
     }
     return update;
--- a/dotterelrouter/directory/directory_test.cpp
+++ b/dotterelrouter/directory/directory_test.cpp
@@ -54,6 +54,7 @@
         return found == nullptr ? server_state::gone : found->record.state;
     }
 };
+
 // clang-format on
 
 TEST(directory, older_entries_change_nothing)
@@ -202,8 +203,8 @@
         for (std::uint64_t revision = 1; revision <= 30; ++revision)
         {
             auto const number = static_cast<std::uint32_t>(random() % 4);
-            auto const state = random() % 3 == 0 ? server_state::leaving
-                                                 : server_state::ready;
+            auto const state =
+                random() % 3 == 0 ? server_state::leaving : server_state::ready;
             history.push_back(
                 random() % 5 == 0
                     ? update(revision, {}, routes(revision, revision))
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -24,6 +24,10 @@
 constexpr duration longest_shutdown = std::chrono::milliseconds{4500};
 constexpr duration shutdown_check = std::chrono::milliseconds{100};
 
+/// Twice the heartbeat interval: a process without an event for this long did
+/// not run.
+constexpr duration shortest_pause = 2 * heartbeat_interval;
+
 } // namespace
 
 forwarder::forwarder(forwarder_settings settings)
@@ -45,8 +49,10 @@
     if (!started_)
     {
         started_ = now.steady;
+        last_event_ = now.steady;
         out.push_back(log_decision{.what = decision::started});
     }
+    note_pause(now, out);
     std::visit(
         [&](auto const& one)
         {
@@ -56,6 +62,19 @@
     arm(now, out);
 }
 
+void forwarder::note_pause(instant now, forwarder_effects& out)
+{
+    auto const gap = duration{now.steady - last_event_};
+    last_event_ = now.steady;
+    if (gap >= shortest_pause)
+    {
+        resumed_ = now.steady;
+        out.push_back(log_decision{.what = decision::resumed,
+                                   .reason = "this process did not run",
+                                   .age = gap});
+    }
+}
+
 void forwarder::on(snapshot_page_read const& e,
                    instant now,
                    forwarder_effects& out)
@@ -96,8 +115,8 @@
                    instant now,
                    forwarder_effects& out)
 {
-    auto const outcome = peers_.on_heartbeat(
-        e.from, e.message, directory_.revision(), now, out);
+    auto const outcome =
+        peers_.on_heartbeat(e.from, e.message, directory_.revision(), now, out);
     if (outcome.behind)
     {
         if (peers_.begin_question(e.from, now))
@@ -117,9 +136,10 @@
 
 void forwarder::on(changes_asked const& e, instant now, forwarder_effects& out)
 {
-    out.push_back(answer_changes{.exchange = e.exchange,
-                                 .update = directory_.changes_after(e.after, now),
-                                 .age = freshness_.age(now)});
+    out.push_back(
+        answer_changes{.exchange = e.exchange,
+                       .update = directory_.changes_after(e.after, now),
+                       .age = freshness_.age(now)});
 }
 
 void forwarder::on(peer_changes_received const& e,
@@ -223,14 +243,12 @@
     if (chosen != was_reader_)
     {
         was_reader_ = chosen;
-        out.push_back(log_decision{.what = decision::reader_changed,
-                                   .reason = chosen ? "reads the store"
-                                                    : "asks others"});
+        out.push_back(
+            log_decision{.what = decision::reader_changed,
+                         .reason = chosen ? "reads the store" : "asks others"});
     }
-    reader_.run(chosen || freshness_.stale(now),
-                directory_.revision(),
-                now,
-                out);
+    reader_.run(
+        chosen || freshness_.stale(now), directory_.revision(), now, out);
 }
 
 void forwarder::note_freshness(instant now, forwarder_effects& out)
@@ -240,14 +258,13 @@
     if (alarming != told_stale_)
     {
         told_stale_ = alarming;
-        out.push_back(
-            log_decision{.what = alarming ? decision::directory_lost
-                                          : decision::directory_restored,
-                         .reason = alarming ? "neither store nor others"
-                                            : "current again",
-                         .version = directory_.version(),
-                         .revision = directory_.revision().value,
-                         .age = age});
+        out.push_back(log_decision{
+            .what = alarming ? decision::directory_lost
+                             : decision::directory_restored,
+            .reason = alarming ? "neither store nor others" : "current again",
+            .version = directory_.version(),
+            .revision = directory_.revision().value,
+            .age = age});
     }
 }
 
@@ -290,10 +307,10 @@
     if (length >= longest_shutdown || (length >= least_shutdown && quiet))
     {
         finished_ = true;
-        out.push_back(log_decision{
-            .what = decision::stopped,
-            .reason = quiet ? "no more packets" : "time is up",
-            .age = duration{length}});
+        out.push_back(
+            log_decision{.what = decision::stopped,
+                         .reason = quiet ? "no more packets" : "time is up",
+                         .age = duration{length}});
         out.push_back(finish{});
     }
 }
@@ -318,8 +335,7 @@
         }
     }
     if (auto const retry = reader_.may_start_at();
-        retry && *retry > now.steady &&
-        (was_reader_ || freshness_.stale(now)))
+        retry && *retry > now.steady && (was_reader_ || freshness_.stale(now)))
     {
         next = std::min(next, *retry);
     }
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -33,10 +33,11 @@
 /// Who a forwarder is.
 struct forwarder_settings
 {
-    endpoint peers_at{}; ///< Where heartbeats arrive; the port is the same on all.
+    endpoint
+        peers_at{}; ///< Where heartbeats arrive; the port is the same on all.
     std::string data_centre{};
     std::uint64_t incarnation = 0; ///< Random.
-    std::vector<endpoint> seeds{};   ///< Where some forwarders' heartbeats go.
+    std::vector<endpoint> seeds{}; ///< Where some forwarders' heartbeats go.
 };
 
 /// Values of the metrics that go up and down.
@@ -78,8 +79,9 @@
     // Packets.
     void
     on_packet(caller_packet const& packet, instant now, forwarder_effects& out);
-    void
-    on_opening(caller_packet const& packet, instant now, forwarder_effects& out);
+    void on_opening(caller_packet const& packet,
+                    instant now,
+                    forwarder_effects& out);
     void
     on_later(caller_packet const& packet, instant now, forwarder_effects& out);
     void on_placed(internal::placed_flow& flow,
@@ -99,6 +101,10 @@
                     forwarder_effects& out);
     [[nodiscard]] service const* pick_service(route const& way,
                                               flow_key flow) const;
+    /// Whether servers that don't answer are so many that the view itself is
+    /// in doubt.
+    [[nodiscard]] bool distrusts_servers(service const& from,
+                                         instant now) const;
     [[nodiscard]] std::optional<server_id>
     pick_server(service const& from,
                 internal::placed_flow const& flow,
@@ -107,6 +113,9 @@
               server_id server,
               instant now,
               forwarder_effects& out);
+    /// False for a flow that a pause of this process crossed: the missing
+    /// answer says nothing of its server.
+    [[nodiscard]] bool is_evidence(internal::placed_flow const& flow) const;
     void note_unanswered(internal::placed_flow const& flow,
                          instant now,
                          forwarder_effects& out);
@@ -119,16 +128,25 @@
               instant now,
               forwarder_effects& out);
     void run_flows(instant now, forwarder_effects& out);
-    void
-    on_flow_due(internal::placed_flow& flow, instant now, forwarder_effects& out);
+    void on_flow_due(internal::placed_flow& flow,
+                     instant now,
+                     forwarder_effects& out);
+    void on_opening_due(internal::placed_flow& flow,
+                        instant now,
+                        forwarder_effects& out);
+    void on_open_flow_due(internal::placed_flow& flow,
+                          instant now,
+                          forwarder_effects& out);
 
     // The directory.
-    void take(directory_update const& update, instant now, forwarder_effects& out);
+    void
+    take(directory_update const& update, instant now, forwarder_effects& out);
     void note_unreadable(std::uint32_t entries, forwarder_effects& out);
     void run_reader(instant now, forwarder_effects& out);
     void note_freshness(instant now, forwarder_effects& out);
     [[nodiscard]] heartbeat own_heartbeat(instant now) const;
 
+    void note_pause(instant now, forwarder_effects& out);
     void set_ready(forwarder_effects& out);
     void run_shutdown(instant now, forwarder_effects& out);
     void arm(instant now, forwarder_effects& out);
@@ -153,6 +171,8 @@
     std::vector<held_packet> released_{}; ///< Kept while effects view them.
     std::optional<steady_time> started_{};
     std::optional<steady_time> shutdown_{};
+    steady_time last_event_{};
+    steady_time resumed_{}; ///< After the last pause of this process.
     steady_time last_packet_{};
     std::optional<steady_time> armed_{};
     bool ready_ = false;
--- a/dotterelrouter/forwarder/forwarder_test.cpp
+++ b/dotterelrouter/forwarder/forwarder_test.cpp
@@ -71,6 +71,7 @@
         return packets.empty() ? forward_packet{} : packets.front();
     }
 };
+
 // clang-format on
 
 TEST(forwarder, opening_packet_gets_a_server_of_its_service)
@@ -338,6 +339,53 @@
     CHECK(waited <= 4600ms);
 }
 
+/// A machine that wakes reads opening packets whose callers gave up long ago;
+/// it took their silence for that of the servers (seen on
+/// deploy/days/frozen-across-changes.toml: 16 servers suspected on waking).
+TEST(forwarder, silence_after_a_pause_says_nothing_of_servers)
+{
+    std::vector<server_record> servers;
+    for (std::uint32_t number = 1; number <= 6; ++number)
+    {
+        servers.push_back(server(number, 10));
+    }
+    begin(servers);
+    now.steady += 4s;
+    give(packet(flow(1), packet_type::open));
+    LONGS_EQUAL(1, logged(out, decision::resumed));
+    for (std::uint16_t port = 2; port <= 40; ++port)
+    {
+        give(packet(flow(port), packet_type::open));
+    }
+    std::size_t suspected = 0;
+    for (int i = 0; i < 40; ++i)
+    {
+        pass(10ms);
+        suspected += logged(out, decision::server_suspected);
+        LONGS_EQUAL(0, logged(out, decision::flow_tried_again));
+    }
+    LONGS_EQUAL(0, suspected);
+}
+
+TEST(forwarder, most_servers_silent_puts_the_view_in_doubt)
+{
+    begin({server(1, 10), server(2, 10), server(3, 10)});
+    // Nothing ever opens.
+    for (std::uint16_t port = 1; port <= 20; ++port)
+    {
+        give(packet(flow(port), packet_type::open));
+        pass(30ms);
+        pass(60ms);
+    }
+    std::set<std::uint64_t> servers;
+    for (std::uint16_t port = 100; port < 115; ++port)
+    {
+        give(packet(flow(port), packet_type::open));
+        servers.insert(sent().server_number);
+    }
+    LONGS_EQUAL(3, servers.size());
+}
+
 TEST(forwarder, flow_that_never_opens_is_told_once)
 {
     begin({server(1, 10)});
--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -32,14 +32,14 @@
     steady_time last_seen; ///< The caller's last packet.
     std::array<server_id, most_tries> tried{};
     std::size_t tries = 0;
-    server_id server;      ///< The one tried last, or the one that opened.
-    bool opened = false;   ///< The caller acknowledged `server`.
-    bool closed = false;   ///< The caller sends no more.
-    bool counted = false;  ///< In the loads.
-    bool logged = false;   ///< Its opening is in the log.
-    std::uint32_t load = 0; ///< Of the server when it was chosen.
+    server_id server;          ///< The one tried last, or the one that opened.
+    bool opened = false;       ///< The caller acknowledged `server`.
+    bool closed = false;       ///< The caller sends no more.
+    bool counted = false;      ///< In the loads.
+    bool logged = false;       ///< Its opening is in the log.
+    std::uint32_t load = 0;    ///< Of the server when it was chosen.
     std::uint64_t version = 0; ///< Of the routes it was placed by.
-    duration timeout{};    ///< Of a request of its route.
+    duration timeout{};        ///< Of a request of its route.
     std::vector<std::byte> opening; ///< Its first packet, to try again with.
 
     [[nodiscard]] std::span<server_id const> tried_servers() const
@@ -162,8 +162,7 @@
         steady_time when;
         flow_key key;
 
-        friend bool operator>(timer_entry const& left,
-                              timer_entry const& right)
+        friend bool operator>(timer_entry const& left, timer_entry const& right)
         {
             return left.when > right.when;
         }
@@ -171,9 +170,7 @@
 
     std::unordered_map<flow_key, placed_flow> flows_;
     std::unordered_map<server_id, std::uint32_t> loads_;
-    std::priority_queue<timer_entry,
-                        std::vector<timer_entry>,
-                        std::greater<>>
+    std::priority_queue<timer_entry, std::vector<timer_entry>, std::greater<>>
         timers_;
 };
 
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -32,13 +32,18 @@
 /// Flows for a server whose entry lapsed, as a part of the usual.
 constexpr double lapsed_weight = 0.5;
 
+/// Packets that waited while this process did not run are read by then.
+constexpr duration resume_settling = std::chrono::milliseconds{100};
+
 /// Loads of the servers of a service, for `choose`.
 template <class Usable, class Load, class Weight>
-struct servers_for_choice
+class servers_for_choice
 {
-    Usable usable_;
-    Load load_;
-    Weight weight_;
+public:
+    servers_for_choice(Usable is_usable, Load load_of, Weight weight_of)
+        : usable_(is_usable), load_(load_of), weight_(weight_of)
+    {
+    }
 
     [[nodiscard]] bool usable(server_id server) const
     {
@@ -54,8 +59,23 @@
     {
         return weight_(server);
     }
+
+private:
+    Usable usable_;
+    Load load_;
+    Weight weight_;
 };
 
+/// What a server can do now, as a part of what a warm one can.
+double weight_of(known_server const& server, instant now)
+{
+    if (server.record.state == server_state::lapsed)
+    {
+        return lapsed_weight;
+    }
+    return now.steady < server.cold_until ? cold_weight : 1.0;
+}
+
 std::string_view name_of(known_server const* server)
 {
     return server == nullptr ? std::string_view{"unknown"}
@@ -192,10 +212,27 @@
     return nullptr;
 }
 
+bool forwarder::distrusts_servers(service const& from, instant now) const
+{
+    std::size_t total = 0;
+    std::size_t suspected = 0;
+    for (auto const& server : from.all())
+    {
+        if (!server.leaving &&
+            reachability_.data_centre_usable(server.data_centre, now))
+        {
+            ++total;
+            suspected += reachability_.server_usable(server.id, now) ? 0 : 1;
+        }
+    }
+    return 2 * suspected > total;
+}
+
 std::optional<server_id> forwarder::pick_server(service const& from,
                                                 placed_flow const& flow,
                                                 instant now) const
 {
+    auto const distrusted = distrusts_servers(from, now);
     auto const is_new = [&](server_id server)
     {
         return std::ranges::count(flow.tried_servers(), server) == 0;
@@ -203,39 +240,25 @@
     auto const is_reachable = [&](server_id server)
     {
         auto const* const known = directory_.find_server(server);
-        return known != nullptr &&
-               reachability_.usable(
-                   server, known->record.data_centre, now);
+        return reachability_.data_centre_usable(known->record.data_centre,
+                                                now) &&
+               (distrusted || reachability_.server_usable(server, now));
     };
     auto const load = [&](server_id server)
     {
         auto const* const known = directory_.find_server(server);
-        auto const slots =
-            known == nullptr ? 1.0 : static_cast<double>(known->record.slots);
-        return (1.0 + flows_.load_of(server)) / slots;
+        return (1.0 + flows_.load_of(server)) / known->record.slots;
     };
     auto const weight = [&](server_id server)
     {
-        auto const* const known = directory_.find_server(server);
-        if (known == nullptr)
-        {
-            return 1.0;
-        }
-        if (known->record.state == server_state::lapsed)
-        {
-            return lapsed_weight;
-        }
-        return now.steady < known->cold_until ? cold_weight : 1.0;
+        return weight_of(*directory_.find_server(server), now);
     };
     auto const choose_among = [&](auto usable)
     {
-        return choose(
-            from,
-            flow.key,
-            flow_length::single,
-            servers_for_choice<decltype(usable),
-                               decltype(load),
-                               decltype(weight)>{usable, load, weight});
+        return choose(from,
+                      flow.key,
+                      flow_length::single,
+                      servers_for_choice(usable, load, weight));
     };
     auto chosen = choose_among(
         [&](server_id server)
@@ -258,8 +281,8 @@
                            forwarder_effects& out)
 {
     auto const* const from = pick_service(way, flow.key);
-    auto const chosen = from == nullptr ? std::nullopt
-                                        : pick_server(*from, flow, now);
+    auto const chosen =
+        from == nullptr ? std::nullopt : pick_server(*from, flow, now);
     auto const* const server =
         chosen ? directory_.find_server(*chosen) : nullptr;
     if (server == nullptr)
@@ -283,23 +306,32 @@
     if (flow.tries > 1)
     {
         out.push_back(add_to_counter{forwarder_counter::flows_tried_again});
-        out.push_back(log_decision{
-            .what = decision::flow_tried_again,
-            .flow = flow.key,
-            .subject = server->record.name,
-            .reason = "server before did not answer",
-            .version = flow.version,
-            .revision = server->record.revision.value,
-            .age = duration{now.steady - flow.first_seen},
-            .load = flow.load,
-            .count = static_cast<std::uint32_t>(flow.tries)});
+        out.push_back(
+            log_decision{.what = decision::flow_tried_again,
+                         .flow = flow.key,
+                         .subject = server->record.name,
+                         .reason = "server before did not answer",
+                         .version = flow.version,
+                         .revision = server->record.revision.value,
+                         .age = duration{now.steady - flow.first_seen},
+                         .load = flow.load,
+                         .count = static_cast<std::uint32_t>(flow.tries)});
     }
 }
 
+bool forwarder::is_evidence(placed_flow const& flow) const
+{
+    return flow.sent >= resumed_ + resume_settling;
+}
+
 void forwarder::note_unanswered(placed_flow const& flow,
                                 instant now,
                                 forwarder_effects& out)
 {
+    if (!is_evidence(flow))
+    {
+        return;
+    }
     if (auto const* const server = directory_.find_server(flow.server))
     {
         reachability_.on_unanswered(
@@ -379,8 +411,7 @@
             .request_id = std::string{packet.request_id},
             .subject = std::string{name_of(server)},
             .version = flow.version,
-            .revision =
-                server == nullptr ? 0 : server->record.revision.value,
+            .revision = server == nullptr ? 0 : server->record.revision.value,
             .age = freshness_.age(now),
             .load = flow.load,
             .count = static_cast<std::uint32_t>(flow.tries)});
@@ -454,47 +485,60 @@
 {
     if (flow.closed)
     {
-        if (now.steady - flow.last_seen >= closed_memory)
+        auto const until = flow.last_seen + closed_memory;
+        if (now.steady >= until)
         {
             flows_.remove(flow.key);
+            return;
         }
-        else
-        {
-            flows_.wake(flow.key, flow.last_seen + closed_memory);
-        }
-        return;
+        flows_.wake(flow.key, until);
     }
-    if (!flow.opened)
+    else if (flow.opened)
     {
-        if (now.steady - flow.last_seen >= longest_opening)
-        {
-            out.push_back(
-                add_to_counter{forwarder_counter::flows_not_opened});
-            out.push_back(log_decision{
-                .what = decision::flow_not_opened,
-                .flow = flow.key,
-                .subject =
-                    std::string{name_of(directory_.find_server(flow.server))},
-                .reason = "no server's handshake was acknowledged",
-                .version = flow.version,
-                .age = duration{now.steady - flow.first_seen},
-                .count = static_cast<std::uint32_t>(flow.tries)});
-            flows_.remove(flow.key);
-            return;
-        }
-        auto const limit = flow.tries <= unanswered_after.size()
-                               ? unanswered_after[flow.tries - 1]
-                               : longest_opening;
-        auto const* const way =
-            directory_.find_route(flow.key.service_address);
-        if (now.steady - flow.sent >= limit && way != nullptr)
-        {
-            note_unanswered(flow, now, out);
-            try_server(flow, *way, now, out);
-        }
-        flows_.wake(flow.key, flow.last_seen + longest_opening);
+        on_open_flow_due(flow, now, out);
+    }
+    else
+    {
+        on_opening_due(flow, now, out);
+    }
+}
+
+void forwarder::on_opening_due(placed_flow& flow,
+                               instant now,
+                               forwarder_effects& out)
+{
+    auto const until = flow.last_seen + longest_opening;
+    if (now.steady >= until)
+    {
+        out.push_back(add_to_counter{forwarder_counter::flows_not_opened});
+        out.push_back(log_decision{
+            .what = decision::flow_not_opened,
+            .flow = flow.key,
+            .subject =
+                std::string{name_of(directory_.find_server(flow.server))},
+            .reason = "no server's handshake was acknowledged",
+            .version = flow.version,
+            .age = duration{now.steady - flow.first_seen},
+            .count = static_cast<std::uint32_t>(flow.tries)});
+        flows_.remove(flow.key);
         return;
     }
+    auto const may_try =
+        flow.tries <= unanswered_after.size() && is_evidence(flow);
+    auto const* const way = directory_.find_route(flow.key.service_address);
+    if (may_try && way != nullptr &&
+        now.steady - flow.sent >= unanswered_after[flow.tries - 1])
+    {
+        note_unanswered(flow, now, out);
+        try_server(flow, *way, now, out);
+    }
+    flows_.wake(flow.key, until);
+}
+
+void forwarder::on_open_flow_due(placed_flow& flow,
+                                 instant now,
+                                 forwarder_effects& out)
+{
     auto const idle = duration{now.steady - flow.last_seen};
     if (idle >= directory_.idle_timeout())
     {
@@ -510,13 +554,14 @@
             .flow = flow.key,
             .subject =
                 std::string{name_of(directory_.find_server(flow.server))},
-            .reason = "caller went silent",
+            .reason = "no more packets here: it goes through another "
+                      "forwarder, or its caller gave up",
             .version = flow.version,
             .age = idle});
     }
     flows_.wake(flow.key,
-                flow.last_seen + (flow.counted ? flow.timeout
-                                               : directory_.idle_timeout()));
+                flow.last_seen +
+                    (flow.counted ? flow.timeout : directory_.idle_timeout()));
 }
 
 } // namespace dotterelrouter
--- a/dotterelrouter/forwarding/internal/effects.hpp
+++ b/dotterelrouter/forwarding/internal/effects.hpp
@@ -78,6 +78,7 @@
     stopping,
     stopped,
     settings_reloaded,
+    resumed,
     readiness_changed,
     store_lost,
     store_restored,
@@ -109,13 +110,13 @@
     decision what = decision::started;
     std::optional<flow_key> flow{};
     std::string request_id{};
-    std::string subject{}; ///< Server, data centre or peer.
-    std::string_view reason{}; ///< A string literal.
+    std::string subject{};                   ///< Server, data centre or peer.
+    std::string_view reason{};               ///< A string literal.
     std::optional<std::uint64_t> version{};  ///< Of the routes.
     std::optional<std::uint64_t> revision{}; ///< Of the entry.
     std::optional<duration> age{}; ///< Of the directory, or how long it took.
-    std::optional<std::uint32_t> load{};     ///< The server's open flows.
-    std::optional<std::uint32_t> count{};    ///< Tries or entries.
+    std::optional<std::uint32_t> load{};  ///< The server's open flows.
+    std::optional<std::uint32_t> count{}; ///< Tries or entries.
 };
 
 /// Counters of a forwarder; telemetry gives each its metric name.
--- a/dotterelrouter/forwarding/internal/events.hpp
+++ b/dotterelrouter/forwarding/internal/events.hpp
@@ -27,8 +27,8 @@
 /// The store answered a read of everything, or one page of it.
 struct snapshot_page_read
 {
-    directory_update update{}; ///< `through` is when the page was read.
-    std::string next_after{};  ///< Key to go on after; empty: the last page.
+    directory_update update{};    ///< `through` is when the page was read.
+    std::string next_after{};     ///< Key to go on after; empty: the last page.
     std::uint32_t unreadable = 0; ///< Entries that name no server to use.
 };
 
--- a/dotterelrouter/forwarding/internal/packets.hpp
+++ b/dotterelrouter/forwarding/internal/packets.hpp
@@ -32,8 +32,8 @@
     route_token token{};
     std::uint32_t sequence = 0;
     std::uint32_t acknowledged = 0; ///< Of `open`: how many copies came before.
-    std::string_view request_id{};    ///< If this packet shows it.
-    byte_view bytes{};                ///< The whole packet.
+    std::string_view request_id{};  ///< If this packet shows it.
+    byte_view bytes{};              ///< The whole packet.
 };
 
 } // namespace dotterelrouter
--- a/dotterelrouter/forwarding/internal/records.hpp
+++ b/dotterelrouter/forwarding/internal/records.hpp
@@ -38,7 +38,7 @@
 struct route_table
 {
     std::uint64_t version = 0; ///< Grows in uneven steps.
-    store_revision revision{};   ///< Of the write that brought it.
+    store_revision revision{}; ///< Of the write that brought it.
     duration idle_timeout = std::chrono::seconds{15}; ///< Of a flow.
     std::vector<route> routes{};
 
@@ -57,7 +57,7 @@
 /// A backend server's registration.
 struct server_record
 {
-    std::string name{};         ///< Unique; names the entry.
+    std::string name{};       ///< Unique; names the entry.
     std::uint64_t number = 0; ///< Of the name; packets carry it.
     service_id service{};
     endpoint where{};
@@ -66,7 +66,7 @@
     server_state state = server_state::gone;
     duration cold_for{}; ///< How much longer it is slow, at reading time.
     std::int64_t started_ms = 0; ///< Unix time of its start; 0: not told.
-    store_revision revision{};     ///< Of the last change.
+    store_revision revision{};   ///< Of the last change.
 
     friend bool operator==(server_record const&,
                            server_record const&) = default;
--- a/dotterelrouter/reachability/reachability.cpp
+++ b/dotterelrouter/reachability/reachability.cpp
@@ -32,8 +32,8 @@
     {
         return;
     }
-    of.pause = of.suspected ? std::min(of.pause * 2, longest_pause)
-                            : first_pause;
+    of.pause =
+        of.suspected ? std::min(of.pause * 2, longest_pause) : first_pause;
     of.suspected = true;
     of.test_at = now.steady + of.pause;
 }
@@ -102,18 +102,22 @@
     data_centres_[data_centre].silent = silent;
 }
 
-bool reachability::usable(server_id server,
-                          data_centre_id data_centre,
-                          instant now) const
+bool reachability::allows(suspicion const& one, instant now)
 {
-    auto const allows = [now](suspicion const& one)
-    {
-        return !one.suspected || now.steady >= one.test_at;
-    };
-    auto const one = servers_.find(server);
-    auto const around = data_centres_.find(data_centre);
-    return (one == servers_.end() || allows(one->second)) &&
-           (around == data_centres_.end() || allows(around->second));
+    return !one.suspected || now.steady >= one.test_at;
+}
+
+bool reachability::server_usable(server_id server, instant now) const
+{
+    auto const found = servers_.find(server);
+    return found == servers_.end() || allows(found->second, now);
+}
+
+bool reachability::data_centre_usable(data_centre_id data_centre,
+                                      instant now) const
+{
+    auto const found = data_centres_.find(data_centre);
+    return found == data_centres_.end() || allows(found->second, now);
 }
 
 void reachability::on_sent(server_id server,
--- a/dotterelrouter/reachability/reachability.hpp
+++ b/dotterelrouter/reachability/reachability.hpp
@@ -4,7 +4,8 @@
 //     reachability seen(own_data_centre);
 //     seen.on_unanswered(server, data_centre, now, out);
 //     seen.on_opened(server, data_centre, now, out);
-//     if (seen.usable(server, data_centre, now)) { ... }
+//     if (seen.data_centre_usable(data_centre, now) &&
+//         seen.server_usable(server, now)) { ... }
 //
 // `health` judges servers by the outcome of requests; on the forwarding path
 // answers go directly to callers, so that only handshakes are seen. Several
@@ -44,11 +45,13 @@
     /// No forwarder of a data centre is heard any more, though some were.
     void on_silent(data_centre_id data_centre, bool silent);
 
-    /// False while a server or its data centre is suspected. True for the
-    /// flow that is to test whether it answers again.
-    [[nodiscard]] bool usable(server_id server,
-                              data_centre_id data_centre,
-                              instant now) const;
+    /// False while a server is suspected for its own sake. True for the flow
+    /// that is to test whether it answers again.
+    [[nodiscard]] bool server_usable(server_id server, instant now) const;
+
+    /// The same for a data centre.
+    [[nodiscard]] bool data_centre_usable(data_centre_id data_centre,
+                                          instant now) const;
 
     /// A flow was sent there: the next test of a suspect is due later.
     void on_sent(server_id server, data_centre_id data_centre, instant now);
@@ -65,6 +68,7 @@
     };
 
     static void raise(suspicion& of, int limit, instant now);
+    [[nodiscard]] static bool allows(suspicion const& one, instant now);
 
     data_centre_id own_;
     std::unordered_map<server_id, suspicion> servers_;
--- a/dotterelrouter/reachability/reachability_test.cpp
+++ b/dotterelrouter/reachability/reachability_test.cpp
@@ -30,9 +30,11 @@
 
     bool usable(std::uint32_t server, data_centre_id where)
     {
-        return seen.usable(id_of(server), where, now);
+        return seen.data_centre_usable(where, now) &&
+               seen.server_usable(id_of(server), now);
     }
 };
+
 // clang-format on
 
 TEST(reachability, one_lost_handshake_is_no_suspicion)
--- a/dotterelrouter/replication/peers.cpp
+++ b/dotterelrouter/replication/peers.cpp
@@ -105,15 +105,14 @@
                                        .subject = to_string(where)});
         }
     }
-    std::erase_if(
-        peers_,
-        [&](auto const& entry)
-        {
-            auto const& [where, one] = entry;
-            auto const last = one.heard.value_or(one.known_since);
-            return now.steady - last > known_for &&
-                   std::ranges::count(settings_.seeds, where) == 0;
-        });
+    std::erase_if(peers_,
+                  [&](auto const& entry)
+                  {
+                      auto const& [where, one] = entry;
+                      auto const last = one.heard.value_or(one.known_since);
+                      return now.steady - last > known_for &&
+                             std::ranges::count(settings_.seeds, where) == 0;
+                  });
 }
 
 void peers::set_loads(peer& of, std::span<server_load const> loads)
@@ -133,8 +132,7 @@
 {
     std::vector<std::uint32_t> ips;
     std::size_t index = 0;
-    auto const start =
-        peers_.empty() ? 0 : beats_ * most_ips % peers_.size();
+    auto const start = peers_.empty() ? 0 : beats_ * most_ips % peers_.size();
     for (auto const& [where, one] : peers_)
     {
         auto const place = (index++ + peers_.size() - start) % peers_.size();
@@ -169,10 +167,11 @@
     for (auto const& [where, one] : peers_)
     {
         auto const place = (index++ + peers_.size() - start) % peers_.size();
-        auto const due = one.live ? place < fanout
-                                  : beats_ % beats_between_calls ==
-                                        rank_of(where) % beats_between_calls ||
-                                        !one.heard;
+        auto const due = one.live
+                             ? place < fanout
+                             : beats_ % beats_between_calls ==
+                                       rank_of(where) % beats_between_calls ||
+                                   !one.heard;
         if (due)
         {
             out.push_back(send_heartbeat{where, shared});
@@ -193,14 +192,14 @@
         return false;
     }
     auto const own = rank_of(settings_.self);
-    auto const before = std::ranges::count_if(
-        peers_,
-        [&](auto const& entry)
-        {
-            auto const& [where, one] = entry;
-            return one.live && one.store_reachable && !one.leaving &&
-                   rank_of(where) < own;
-        });
+    auto const before =
+        std::ranges::count_if(peers_,
+                              [&](auto const& entry)
+                              {
+                                  auto const& [where, one] = entry;
+                                  return one.live && one.store_reachable &&
+                                         !one.leaving && rank_of(where) < own;
+                              });
     return static_cast<std::size_t>(before) < reader_count;
 }
 
--- a/dotterelrouter/replication/replication_test.cpp
+++ b/dotterelrouter/replication/replication_test.cpp
@@ -33,7 +33,7 @@
                  .incarnation = 1,
                  .seeds = {vm(1), vm(2)}}};
 
-    heartbeat_outcome hear(std::uint32_t from, heartbeat message = {})
+    heartbeat_outcome hear(std::uint32_t from, heartbeat const& message = {})
     {
         return known.on_heartbeat(vm(from), message, {10}, now, out);
     }
@@ -50,6 +50,7 @@
         return to;
     }
 };
+
 // clang-format on
 
 TEST(peers, seeds_are_called_until_they_answer_and_never_oneself)
@@ -113,7 +114,8 @@
 {
     for (std::uint32_t from = 2; from <= 8; ++from)
     {
-        hear(from, {.store_reachable = from % 2 == 0, .leaving = from % 2 == 0});
+        hear(from,
+             {.store_reachable = from % 2 == 0, .leaving = from % 2 == 0});
     }
     CHECK(known.is_reader(true));
 }
@@ -136,7 +138,7 @@
     forwarder_effects out;
     store_reader reader{1};
 
-    void run(std::uint64_t revision)
+    void begin_read(std::uint64_t revision)
     {
         out.clear();
         reader.run(true, {revision}, now, out);
@@ -149,22 +151,23 @@
         CHECK(reader.on_page(page, out).has_value());
     }
 };
+
 // clang-format on
 
 TEST(store_reader, reads_everything_then_watches)
 {
-    run(0);
+    begin_read(0);
     LONGS_EQUAL(1, all<read_snapshot>(out).size());
-    run(0);
+    begin_read(0);
     LONGS_EQUAL(0, all<read_snapshot>(out).size());
     read_all(5);
-    run(5);
+    begin_read(5);
     LONGS_EQUAL(5, all<watch_changes>(out).at(0).after.value);
 }
 
 TEST(store_reader, pages_make_one_whole_as_of_the_first)
 {
-    run(0);
+    begin_read(0);
     snapshot_page_read page;
     page.update.through = {5};
     page.update.servers = {testing::server(1, 3)};
@@ -183,33 +186,33 @@
 
 TEST(store_reader, lost_history_is_read_again_at_once)
 {
-    run(0);
+    begin_read(0);
     read_all(5);
-    run(5);
+    begin_read(5);
     reader.on_failure(store_failure::history_gone, now, out);
     CHECK(reader.reachable(now));
-    run(5);
+    begin_read(5);
     LONGS_EQUAL(1, all<read_snapshot>(out).size());
 }
 
 TEST(store_reader, watch_that_was_cut_is_followed_by_a_whole_read)
 {
-    run(0);
+    begin_read(0);
     read_all(5);
-    run(5);
+    begin_read(5);
     reader.on_failure(store_failure::timed_out, now, out);
     now.steady += 2s;
-    run(5);
+    begin_read(5);
     LONGS_EQUAL(1, all<read_snapshot>(out).size());
 }
 
 TEST(store_reader, pauses_grow_and_are_told_once)
 {
-    run(0);
+    begin_read(0);
     reader.on_failure(store_failure::refused, now, out);
     LONGS_EQUAL(1, logged(out, decision::store_lost));
     CHECK(!reader.reachable(now));
-    run(0);
+    begin_read(0);
     LONGS_EQUAL(0, all<read_snapshot>(out).size());
     duration longest{};
     for (int i = 0; i < 8; ++i)
@@ -217,7 +220,7 @@
         auto const start = *reader.may_start_at();
         longest = std::max(longest, duration{start - now.steady});
         now.steady = start;
-        run(0);
+        begin_read(0);
         LONGS_EQUAL(1, all<read_snapshot>(out).size());
         reader.on_failure(store_failure::refused, now, out);
         LONGS_EQUAL(0, logged(out, decision::store_lost));
--- a/dotterelrouter/replication/store_reader.cpp
+++ b/dotterelrouter/replication/store_reader.cpp
@@ -94,9 +94,9 @@
     open_ = false;
     if (failures_ > 0)
     {
-        out.push_back(log_decision{
-            .what = decision::store_restored,
-            .count = static_cast<std::uint32_t>(failures_)});
+        out.push_back(
+            log_decision{.what = decision::store_restored,
+                         .count = static_cast<std::uint32_t>(failures_)});
     }
     failures_ = 0;
 }
@@ -122,8 +122,7 @@
     }
     constexpr int most_doublings = 4;
     auto const doublings = std::min(failures_++, most_doublings);
-    auto const pause =
-        std::min(first_pause * (1 << doublings), longest_pause);
+    auto const pause = std::min(first_pause * (1 << doublings), longest_pause);
     random_ = mix(random_ + 1);
     constexpr std::uint64_t half = 512;
     constexpr std::int64_t whole = 1024;
--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -127,8 +127,7 @@
 
     void carry_out(forward_packet const& wanted)
     {
-        packets_.send(wanted.to,
-                      Platform::encode_for_server(wanted, buffer_));
+        packets_.send(wanted.to, Platform::encode_for_server(wanted, buffer_));
     }
 
     void carry_out(refuse_flow const& wanted)
@@ -160,12 +159,13 @@
     }
 
     void carry_out(ask_changes const& wanted);
+
     void carry_out(answer_changes const& wanted)
     {
         auto const bytes = encode_changes(wanted.update, wanted.age);
-        control_.respond(http_exchange{wanted.exchange},
-                         {.content_type = "application/x-protobuf",
-                          .body = bytes});
+        control_.respond(
+            http_exchange{wanted.exchange},
+            {.content_type = "application/x-protobuf", .body = bytes});
     }
 
     void carry_out(set_readiness const& wanted)
@@ -231,8 +231,8 @@
             auto const known = request.path == Platform::readiness_path;
             owner.readiness_.respond(
                 request.exchange,
-                {.status = known ? (owner.ready_ ? ok : unavailable)
-                                 : not_found});
+                {.status =
+                     known ? (owner.ready_ ? ok : unavailable) : not_found});
         }
     };
 
@@ -335,9 +335,8 @@
         std::uint64_t after = 0;
         auto const query = request.query;
         auto const from = std::min(after_parameter.size(), query.size());
-        auto const read =
-            std::from_chars(query.data() + from, query.data() + query.size(),
-                            after);
+        auto const read = std::from_chars(
+            query.data() + from, query.data() + query.size(), after);
         if (!query.starts_with(after_parameter) || read.ec != std::errc{})
         {
             control_.respond(request.exchange, {.status = bad_request});
@@ -403,8 +402,8 @@
             {.version = gauges.version,
              .directory_age_seconds = age.count(),
              .flows = gauges.flows,
-             .datagrams_dropped = sent.dropped_full + sent.dropped_oversized +
-                                  sent.send_errors,
+             .datagrams_dropped =
+                 sent.dropped_full + sent.dropped_oversized + sent.send_errors,
              .log_lines_suppressed = log_.suppressed()});
     }
 
@@ -430,8 +429,7 @@
     http_port<readiness_pages> readiness_{
         loop_, settings_.readiness, readiness_pages_};
     control_pages control_pages_{*this};
-    http_port<control_pages> control_{
-        loop_, settings_.control, control_pages_};
+    http_port<control_pages> control_{loop_, settings_.control, control_pages_};
     metrics_pages metrics_pages_{*this};
     http_port<metrics_pages> metrics_port_{
         loop_, settings_.metrics, metrics_pages_};
--- a/dotterelrouter/runtime/reload_signal.cpp
+++ b/dotterelrouter/runtime/reload_signal.cpp
@@ -11,8 +11,8 @@
                                      callback asked,
                                      void* context)
     : loop_(loop), asked_(asked), context_(context),
-      event_(evsignal_new(
-          loop.base(), SIGHUP, &raw_reload_signal::on_event, this))
+      event_(
+          evsignal_new(loop.base(), SIGHUP, &raw_reload_signal::on_event, this))
 {
     if (!event_ || event_add(event_.get(), nullptr) != 0)
     {
--- a/dotterelrouter/telemetry/decision_log.cpp
+++ b/dotterelrouter/telemetry/decision_log.cpp
@@ -70,6 +70,8 @@
         return "stopped";
     case decision::settings_reloaded:
         return "settings_reloaded";
+    case decision::resumed:
+        return "resumed";
     case decision::readiness_changed:
         return "readiness_changed";
     case decision::store_lost:
--- a/dotterelrouter/telemetry/forwarder_metrics.cpp
+++ b/dotterelrouter/telemetry/forwarder_metrics.cpp
@@ -48,10 +48,9 @@
     return "unknown";
 }
 
-prometheus::MetricFamily& add_family(
-    std::vector<prometheus::MetricFamily>& to,
-    std::string_view name,
-    prometheus::MetricType type)
+prometheus::MetricFamily& add_family(std::vector<prometheus::MetricFamily>& to,
+                                     std::string_view name,
+                                     prometheus::MetricType type)
 {
     auto& family = to.emplace_back();
     family.name = "dotterelrouter_" + std::string{name};
@@ -64,9 +63,8 @@
                  std::string_view name,
                  std::uint64_t value)
 {
-    auto& family = add_family(to,
-                              std::string{name} + "_total",
-                              prometheus::MetricType::Counter);
+    auto& family = add_family(
+        to, std::string{name} + "_total", prometheus::MetricType::Counter);
     family.metric.front().counter.value = static_cast<double>(value);
 }
 
@@ -99,9 +97,8 @@
     std::vector<prometheus::MetricFamily> families;
     for (std::size_t i = 0; i < forwarder_counter_count; ++i)
     {
-        add_counter(families,
-                    name_of(static_cast<forwarder_counter>(i)),
-                    counts_[i]);
+        add_counter(
+            families, name_of(static_cast<forwarder_counter>(i)), counts_[i]);
     }
     add_counter(families, "datagrams_dropped", values.datagrams_dropped);
     add_counter(families, "log_lines_suppressed", values.log_lines_suppressed);
