Let the test of a doubted view run long enough for loads to even out

The third server was the last one tried of the flows before, so that it had all their load: 15 flows did not reach it, though it could be chosen.

--- a/dotterelrouter/forwarder/forwarder_test.cpp
+++ b/dotterelrouter/forwarder/forwarder_test.cpp
@@ -378,7 +378,7 @@
         pass(60ms);
     }
     std::set<std::uint64_t> servers;
-    for (std::uint16_t port = 100; port < 115; ++port)
+    for (std::uint16_t port = 100; port < 160; ++port)
     {
         give(packet(flow(port), packet_type::open));
         servers.insert(sent().server_number);
