Shed new flows as responses near their target, the less urgent first

Ruled out: uneven placement (busiest/mean 1.07). Change: a forwarder follows the time from a request to the first acknowledged response against the target of its route, and refuses new flows before they cost a server anything. Loads now count requests at work, not open flows.

--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -66,6 +66,7 @@
     out.set_idempotent(from.idempotent);
     out.set_urgency(from.urgency);
     out.set_timeout_ms(to_ms(from.timeout));
+    out.set_target_ms(to_ms(from.target));
 }
 
 bool read(wire::Route const& in, route& out)
@@ -78,7 +79,8 @@
     out.idempotent = in.idempotent();
     return narrow(in.port(), out.where.port) &&
            narrow(in.urgency(), out.urgency) &&
-           from_ms(in.timeout_ms(), out.timeout);
+           from_ms(in.timeout_ms(), out.timeout) &&
+           from_ms(in.target_ms(), out.target);
 }
 
 void write(route_table const& from, wire::RouteTable& out)
--- a/dotterelrouter/directory/directory.cpp
+++ b/dotterelrouter/directory/directory.cpp
@@ -253,6 +253,12 @@
     return routes_ ? routes_->idle_timeout : route_table{}.idle_timeout;
 }
 
+std::span<route const> directory::routes() const
+{
+    return routes_ ? std::span<route const>{routes_->routes}
+                   : std::span<route const>{};
+}
+
 route const* directory::find_route(endpoint where) const
 {
     auto const found = route_index_.find(where);
--- a/dotterelrouter/directory/directory.hpp
+++ b/dotterelrouter/directory/directory.hpp
@@ -16,6 +16,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -80,6 +81,8 @@
     /// How long a flow may be idle.
     [[nodiscard]] duration idle_timeout() const;
 
+    /// All routes in force.
+    [[nodiscard]] std::span<route const> routes() const;
     /// Constant time; null if no route has that address.
     [[nodiscard]] route const* find_route(endpoint where) const;
     /// The servers that may get flows, and those leaving. Constant time; null
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -216,6 +216,17 @@
                                    .version = directory_.version()});
         out.push_back(add_to_counter{forwarder_counter::invariants_broken});
     }
+    if (changes.routes)
+    {
+        overload_.reset_urgencies();
+        for (auto const& way : directory_.routes())
+        {
+            for (auto const target : way.targets)
+            {
+                overload_.on_urgency(target.service, way.urgency);
+            }
+        }
+    }
     for (auto const server : changes.started)
     {
         reachability_.on_started(server);
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -18,6 +18,7 @@
 #include "dotterelrouter/directory/directory.hpp"
 #include "dotterelrouter/forwarder/internal/flow_table.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
+#include "dotterelrouter/overload/overload.hpp"
 #include "dotterelrouter/reachability/reachability.hpp"
 #include "dotterelrouter/replication/replication.hpp"
 #include "dotterelrouter/routing/routing.hpp"
@@ -119,6 +120,11 @@
     void note_unanswered(internal::placed_flow const& flow,
                          instant now,
                          forwarder_effects& out);
+    /// Notes requests and the responses that the caller acknowledges.
+    void follow_request(internal::placed_flow& flow,
+                        caller_packet const& packet,
+                        instant now);
+    [[nodiscard]] bool admits(route const& way, flow_key flow) const;
     void refuse(caller_packet const& packet,
                 std::string_view why,
                 instant now,
@@ -166,6 +172,7 @@
     peers peers_;
     store_reader reader_;
     reachability reachability_;
+    overload overload_;
     internal::flow_table flows_;
     std::vector<held_packet> held_{};
     std::vector<held_packet> released_{}; ///< Kept while effects view them.
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -155,12 +155,18 @@
         return;
     }
     auto* flow = flows_.find(packet.flow);
+    if (flow == nullptr && !admits(*way, packet.flow))
+    {
+        refuse(packet, "service overloaded", now, out);
+        return;
+    }
     if (flow == nullptr || flow->first_sequence != packet.sequence)
     {
         flow = &flows_.add(packet.flow, now.steady + longest_opening);
         flow->first_sequence = packet.sequence;
         flow->first_seen = now.steady;
         flow->timeout = way->timeout;
+        flow->target = way->target;
         flow->opening.assign(packet.bytes.begin(), packet.bytes.end());
     }
     flow->last_seen = now.steady;
@@ -186,6 +192,14 @@
     }
 }
 
+bool forwarder::admits(route const& way, flow_key flow) const
+{
+    auto const* const from = pick_service(way, flow);
+    // Each further try of a caller is another flow, and draws again.
+    return from == nullptr ||
+           overload_.admits(from->id, way.urgency, mix(hash_of(flow)));
+}
+
 service const* forwarder::pick_service(route const& way, flow_key flow) const
 {
     std::uint64_t total = 0;
@@ -390,6 +404,29 @@
     flows_.wake(flow.key, now.steady + flow.timeout);
 }
 
+void forwarder::follow_request(placed_flow& flow,
+                               caller_packet const& packet,
+                               instant now)
+{
+    if (flow.asked && packet.acknowledged != flow.acknowledged)
+    {
+        if (auto const* const server = directory_.find_server(flow.server))
+        {
+            overload_.on_response(server->record.service,
+                                  now.steady - *flow.asked,
+                                  flow.target);
+        }
+        flow.asked.reset();
+        flows_.release(flow);
+    }
+    if (packet.data_size > 0)
+    {
+        flow.asked = now.steady;
+        flow.acknowledged = packet.acknowledged;
+        flows_.count(flow);
+    }
+}
+
 void forwarder::on_placed(placed_flow& flow,
                           caller_packet const& packet,
                           instant now,
@@ -416,16 +453,16 @@
             .load = flow.load,
             .count = static_cast<std::uint32_t>(flow.tries)});
     }
+    if (flow.opened && !flow.closed)
+    {
+        follow_request(flow, packet, now);
+    }
     if (packet.type == packet_type::close || packet.type == packet_type::abort)
     {
         flows_.release(flow);
         flow.closed = true;
         flows_.wake(flow.key, now.steady + closed_memory);
     }
-    else if (!flow.closed && flow.opened)
-    {
-        flows_.count(flow);
-    }
     if (server == nullptr)
     {
         pass_by_token(packet, now, out);
--- a/dotterelrouter/forwarding/internal/packets.hpp
+++ b/dotterelrouter/forwarding/internal/packets.hpp
@@ -31,7 +31,10 @@
     packet_type type = packet_type::data;
     route_token token{};
     std::uint32_t sequence = 0;
-    std::uint32_t acknowledged = 0; ///< Of `open`: how many copies came before.
+    /// Moves on as the caller receives data; of `open`: how many copies came
+    /// before.
+    std::uint32_t acknowledged = 0;
+    std::size_t data_size = 0; ///< Bytes of the caller's data.
     std::string_view request_id{};  ///< If this packet shows it.
     byte_view bytes{};              ///< The whole packet.
 };
--- a/dotterelrouter/forwarding/internal/records.hpp
+++ b/dotterelrouter/forwarding/internal/records.hpp
@@ -30,6 +30,7 @@
     bool idempotent = false;  ///< False: a request runs at most once.
     std::uint8_t urgency = 0; ///< 0 is the most urgent.
     duration timeout = std::chrono::seconds{5}; ///< Of one request.
+    duration target{}; ///< A response is to take no longer; 0: not told.
 
     friend bool operator==(route const&, route const&) = default;
 };
--- a/testing/forwarding/records.hpp
+++ b/testing/forwarding/records.hpp
@@ -51,6 +51,7 @@
     one.where = where;
     one.targets = {{{id_from_name(service)}, 1}};
     one.timeout = std::chrono::milliseconds{1500};
+    one.target = std::chrono::milliseconds{250};
     made->routes.push_back(one);
     return made;
 }
