--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -40,10 +40,10 @@
     std::uint32_t load = 0;    ///< Of the server when it was chosen.
     std::uint64_t version = 0; ///< Of the routes it was placed by.
     duration timeout{};        ///< Of a request of its route.
-    duration target{};  ///< Of a response of its route.
+    duration target{};         ///< Of a response of its route.
     std::optional<steady_time> asked; ///< A request awaits its response.
     std::uint32_t acknowledged = 0;   ///< By the caller when it asked.
-    std::vector<std::byte> opening; ///< Its first packet, to try again with.
+    std::vector<std::byte> opening;   ///< Its first packet, to try again with.
 
     [[nodiscard]] std::span<server_id const> tried_servers() const
     {
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -412,9 +412,8 @@
     {
         if (auto const* const server = directory_.find_server(flow.server))
         {
-            overload_.on_response(server->record.service,
-                                  now.steady - *flow.asked,
-                                  flow.target);
+            overload_.on_response(
+                server->record.service, now.steady - *flow.asked, flow.target);
         }
         flow.asked.reset();
         flows_.release(flow);
--- a/dotterelrouter/forwarding/internal/packets.hpp
+++ b/dotterelrouter/forwarding/internal/packets.hpp
@@ -34,9 +34,9 @@
     /// Moves on as the caller receives data; of `open`: how many copies came
     /// before.
     std::uint32_t acknowledged = 0;
-    std::size_t data_size = 0; ///< Bytes of the caller's data.
-    std::string_view request_id{};  ///< If this packet shows it.
-    byte_view bytes{};              ///< The whole packet.
+    std::size_t data_size = 0;     ///< Bytes of the caller's data.
+    std::string_view request_id{}; ///< If this packet shows it.
+    byte_view bytes{};             ///< The whole packet.
 };
 
 } // namespace dotterelrouter
--- a/dotterelrouter/overload/overload.cpp
+++ b/dotterelrouter/overload/overload.cpp
@@ -32,10 +32,9 @@
     {
         return;
     }
-    auto const ratio =
-        std::min(most_ratio,
-                 static_cast<double>(taken.count()) /
-                     static_cast<double>(target.count()));
+    auto const ratio = std::min(most_ratio,
+                                static_cast<double>(taken.count()) /
+                                    static_cast<double>(target.count()));
     auto& mean = services_[service].pressure;
     mean += response_weight * (ratio - mean);
 }
@@ -64,12 +63,11 @@
         return true;
     }
     auto const& state = found->second;
-    auto const range =
-        urgency <= state.most_urgent ? most_urgent : less_urgent;
-    auto const share = std::clamp((state.pressure - range.begin) /
-                                      (range.end - range.begin),
-                                  0.0,
-                                  most_shed);
+    auto const range = urgency <= state.most_urgent ? most_urgent : less_urgent;
+    auto const share =
+        std::clamp((state.pressure - range.begin) / (range.end - range.begin),
+                   0.0,
+                   most_shed);
     constexpr unsigned dropped_bits = 11;
     constexpr double scale = 0x1p-53;
     return static_cast<double>(draw >> dropped_bits) * scale >= share;
--- a/dotterelrouter/overload/overload.hpp
+++ b/dotterelrouter/overload/overload.hpp
@@ -34,9 +34,8 @@
     void reset_urgencies();
 
     /// `draw` is evenly distributed over all values.
-    [[nodiscard]] bool admits(service_id service,
-                              std::uint8_t urgency,
-                              std::uint64_t draw) const;
+    [[nodiscard]] bool
+    admits(service_id service, std::uint8_t urgency, std::uint64_t draw) const;
 
     /// Mean response time over target; 0 until a response was seen.
     [[nodiscard]] double pressure(service_id service) const;
--- a/dotterelrouter/overload/overload_test.cpp
+++ b/dotterelrouter/overload/overload_test.cpp
@@ -44,6 +44,7 @@
         return passed / draws;
     }
 };
+
 // clang-format on
 
 TEST(overload, quick_responses_refuse_nothing)
