--- a/dotterelrouter/codec/internal/replication_codec.hpp
+++ b/dotterelrouter/codec/internal/replication_codec.hpp
@@ -19,8 +19,7 @@
     std::optional<duration> age;
 };
 
-/// Bytes of a heartbeat. Loads that do not fit max_heartbeat_size are left
-/// out.
+/// Bytes of a heartbeat, at most max_heartbeat_size.
 [[nodiscard]] std::string encode_heartbeat(heartbeat const& message);
 /// Nothing if the bytes are no heartbeat.
 [[nodiscard]] std::optional<heartbeat> decode_heartbeat(byte_view bytes);
--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -18,8 +18,6 @@
 
 /// Longest duration that is taken from the wire.
 constexpr std::uint64_t most_ms = 24ULL * 3600 * 1000;
-/// Most servers whose load one heartbeat carries.
-constexpr std::size_t most_loads = 150;
 
 std::uint64_t to_age(std::optional<duration> age)
 {
@@ -153,20 +151,13 @@
     {
         out.add_ips(ip);
     }
-    for (auto const load : std::span{message.loads}.first(
-             std::min(message.loads.size(), most_loads)))
-    {
-        out.add_load_servers(load.server.value);
-        out.add_load_flows(load.flows);
-    }
     return out.SerializeAsString();
 }
 
 std::optional<heartbeat> decode_heartbeat(byte_view bytes)
 {
     wire::Heartbeat in;
-    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
-        in.load_servers_size() != in.load_flows_size())
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
     {
         return std::nullopt;
     }
@@ -179,15 +170,6 @@
     message.leaving = in.leaving();
     message.answer_wanted = in.answer_wanted();
     message.ips.assign(in.ips().begin(), in.ips().end());
-    for (int i = 0; i < in.load_servers_size(); ++i)
-    {
-        auto& load = message.loads.emplace_back();
-        load.server.value = in.load_servers(i);
-        if (!narrow(in.load_flows(i), load.flows))
-        {
-            return std::nullopt;
-        }
-    }
     return message;
 }
 
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -289,7 +289,6 @@
     message.store_reachable = reader_.reachable(now);
     message.leaving = shutdown_.has_value();
     message.answer_wanted = !directory_.ready();
-    message.loads = flows_.loads();
     return message;
 }
 
--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -115,18 +115,6 @@
         return found == loads_.end() ? 0 : found->second;
     }
 
-    [[nodiscard]] std::vector<server_load> loads() const
-    {
-        constexpr std::uint32_t most = UINT16_MAX;
-        std::vector<server_load> all;
-        for (auto const& [server, flows] : loads_)
-        {
-            all.push_back(
-                {server, static_cast<std::uint16_t>(std::min(flows, most))});
-        }
-        return all;
-    }
-
     /// Asks for the flow's turn at a time.
     void wake(flow_key key, steady_time when)
     {
--- a/dotterelrouter/forwarding/internal/effects.hpp
+++ b/dotterelrouter/forwarding/internal/effects.hpp
@@ -98,7 +98,6 @@
     flow_tried_again,
     flow_refused,
     flow_not_opened,
-    flow_unrouted,
     flow_unfinished,
     flow_token_unknown,
     invariant_broken,
--- a/dotterelrouter/forwarding/internal/messages.hpp
+++ b/dotterelrouter/forwarding/internal/messages.hpp
@@ -11,15 +11,6 @@
 namespace dotterelrouter
 {
 
-/// How many flows of the sender a server has at work.
-struct server_load
-{
-    server_id server{};
-    std::uint16_t flows = 0;
-
-    friend bool operator==(server_load, server_load) = default;
-};
-
 /// Sent by each forwarder to the others several times a second.
 struct heartbeat
 {
@@ -31,7 +22,6 @@
     bool leaving = false;             ///< It is shutting down.
     bool answer_wanted = false;       ///< The receiver is to answer at once.
     std::vector<std::uint32_t> ips{}; ///< Some forwarders that it knows.
-    std::vector<server_load> loads{}; ///< Servers with no flow are left out.
 };
 
 } // namespace dotterelrouter
--- a/dotterelrouter/replication/internal/peers.hpp
+++ b/dotterelrouter/replication/internal/peers.hpp
@@ -6,7 +6,6 @@
 #include <map>
 #include <optional>
 #include <span>
-#include <unordered_map>
 #include <vector>
 
 namespace dotterelrouter
@@ -35,7 +34,6 @@
     bool store_reachable = false;
     bool leaving = false;
     std::optional<steady_time> asked{}; ///< A question is open since then.
-    std::vector<server_load> loads{};
 };
 
 /// What a heartbeat asks of its receiver.
@@ -87,21 +85,16 @@
     /// Somebody live, of the own data centre if possible.
     [[nodiscard]] std::optional<endpoint> somebody() const;
 
-    /// Flows that live peers have at a server.
-    [[nodiscard]] std::uint32_t load_of(server_id server) const;
-
     /// Data centres whose forwarders were heard, and if any is live.
     [[nodiscard]] std::map<data_centre_id, bool> data_centres() const;
 
 private:
     void add_known(endpoint where, instant now);
     void drop_silent(instant now, forwarder_effects& out);
-    void set_loads(peer& of, std::span<server_load const> loads);
     [[nodiscard]] std::vector<std::uint32_t> some_ips() const;
 
     peers_settings settings_;
     std::map<endpoint, peer> peers_{};
-    std::unordered_map<server_id, std::uint32_t> loads_{};
     steady_time next_beat_{};
     std::uint64_t beats_ = 0;
 };
--- a/dotterelrouter/replication/peers.cpp
+++ b/dotterelrouter/replication/peers.cpp
@@ -78,7 +78,6 @@
         out.push_back(log_decision{.what = decision::peer_found,
                                    .subject = to_string(from)});
     }
-    set_loads(sender, message.loads);
     sender.heard = now.steady;
     sender.incarnation = message.incarnation;
     sender.data_centre = message.data_centre;
@@ -100,7 +99,6 @@
         if (one.live && now.steady - *one.heard > live_for)
         {
             one.live = false;
-            set_loads(one, {});
             out.push_back(log_decision{.what = decision::peer_lost,
                                        .subject = to_string(where)});
         }
@@ -115,19 +113,6 @@
                   });
 }
 
-void peers::set_loads(peer& of, std::span<server_load const> loads)
-{
-    for (auto const load : of.loads)
-    {
-        loads_[load.server] -= load.flows;
-    }
-    of.loads.assign(loads.begin(), loads.end());
-    for (auto const load : of.loads)
-    {
-        loads_[load.server] += load.flows;
-    }
-}
-
 std::vector<std::uint32_t> peers::some_ips() const
 {
     std::vector<std::uint32_t> ips;
@@ -245,12 +230,6 @@
     return other;
 }
 
-std::uint32_t peers::load_of(server_id server) const
-{
-    auto const found = loads_.find(server);
-    return found == loads_.end() ? 0 : found->second;
-}
-
 std::map<data_centre_id, bool> peers::data_centres() const
 {
     std::map<data_centre_id, bool> seen;
--- a/dotterelrouter/telemetry/decision_log.cpp
+++ b/dotterelrouter/telemetry/decision_log.cpp
@@ -28,7 +28,6 @@
     case decision::flow_tried_again:
     case decision::flow_refused:
     case decision::flow_not_opened:
-    case decision::flow_unrouted:
     case decision::flow_unfinished:
     case decision::flow_token_unknown:
         return record_class::bad_flow;
@@ -110,8 +109,6 @@
         return "flow_refused";
     case decision::flow_not_opened:
         return "flow_not_opened";
-    case decision::flow_unrouted:
-        return "flow_unrouted";
     case decision::flow_unfinished:
         return "flow_unfinished";
     case decision::flow_token_unknown:
