--- a/dotterelrouter/forwarder/forwarder_test.cpp
+++ b/dotterelrouter/forwarder/forwarder_test.cpp
@@ -116,6 +116,18 @@
     LONGS_EQUAL(3, servers.size());
 }
 
+TEST(forwarder, own_data_centre_comes_first_among_equals)
+{
+    begin({server(1, 10, server_state::ready, "b"),
+           server(2, 10, server_state::ready, "a"),
+           server(3, 10, server_state::ready, "b")});
+    give(packet(flow(1), packet_type::open));
+    LONGS_EQUAL(2, sent().server_number);
+    // The next one goes where there is less to do.
+    give(packet(flow(2), packet_type::open));
+    CHECK(sent().server_number != 2);
+}
+
 TEST(forwarder, closed_flow_no_longer_counts)
 {
     begin({server(1, 10), server(2, 10)});
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -29,6 +29,9 @@
 
 /// What a cold server does, as a part of a warm one.
 constexpr double cold_weight = 0.6;
+/// A server of another data centre counts this much more load, in its slots:
+/// among equals the own data centre comes first.
+constexpr double other_data_centre_load = 0.1;
 /// Flows for a server whose entry lapsed, as a part of the usual.
 constexpr double lapsed_weight = 0.5;
 
@@ -260,8 +263,10 @@
     };
     auto const load = [&](server_id server)
     {
-        auto const* const known = directory_.find_server(server);
-        return (1.0 + flows_.load_of(server)) / known->record.slots;
+        auto const& record = directory_.find_server(server)->record;
+        auto const away = record.data_centre != data_centre_;
+        return (1.0 + flows_.load_of(server)) / record.slots +
+               (away ? other_data_centre_load : 0.0);
     };
     auto const weight = [&](server_id server)
     {
