--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -79,6 +79,11 @@
     return now.steady < server.cold_until ? cold_weight : 1.0;
 }
 
+asked_server asked(known_server const& server)
+{
+    return {server.id, server.record.data_centre, server.record.name};
+}
+
 std::string_view name_of(known_server const* server)
 {
     return server == nullptr ? std::string_view{"unknown"}
@@ -353,8 +358,7 @@
     }
     if (auto const* const server = directory_.find_server(flow.server))
     {
-        reachability_.on_unanswered(
-            server->id, server->record.data_centre, now, out);
+        reachability_.on_unanswered(asked(*server), now, out);
     }
 }
 
@@ -402,7 +406,7 @@
     }
     if (auto const* const known = directory_.find_server(server))
     {
-        reachability_.on_opened(server, known->record.data_centre, out);
+        reachability_.on_opened(asked(*known), out);
     }
     out.push_back(add_to_counter{forwarder_counter::flows_opened});
     out.push_back(observe_handshake{taken});
--- a/dotterelrouter/reachability/reachability.cpp
+++ b/dotterelrouter/reachability/reachability.cpp
@@ -18,9 +18,13 @@
 constexpr duration first_pause = std::chrono::milliseconds{500};
 constexpr duration longest_pause = std::chrono::seconds{4};
 
-void log_subject(decision what, std::uint32_t id, forwarder_effects& out)
+void log_suspicion(decision what,
+                   asked_server const& server,
+                   std::string_view reason,
+                   forwarder_effects& out)
 {
-    out.push_back(log_decision{.what = what, .subject = std::to_string(id)});
+    out.push_back(log_decision{
+        .what = what, .subject = std::string{server.name}, .reason = reason});
 }
 
 } // namespace
@@ -38,23 +42,23 @@
     of.test_at = now.steady + of.pause;
 }
 
-void reachability::on_unanswered(server_id server,
-                                 data_centre_id data_centre,
+void reachability::on_unanswered(asked_server const& server,
                                  instant now,
                                  forwarder_effects& out)
 {
-    auto& one = servers_[server];
+    auto& one = servers_[server.id];
     auto const known = one.suspected;
     raise(one, server_limit, now);
     if (one.suspected && !known)
     {
-        log_subject(decision::server_suspected, server.value, out);
+        log_suspicion(
+            decision::server_suspected, server, "handshakes unanswered", out);
     }
-    if (data_centre == own_)
+    if (server.data_centre == own_)
     {
         return;
     }
-    auto& around = data_centres_[data_centre];
+    auto& around = data_centres_[server.data_centre];
     auto const known_around = around.suspected;
     raise(around,
           around.silent ? silent_data_centre_limit : data_centre_limit,
@@ -63,30 +67,35 @@
     around.pause = std::min(around.pause, first_pause);
     if (around.suspected && !known_around)
     {
-        log_subject(decision::data_centre_suspected, data_centre.value, out);
+        log_suspicion(decision::data_centre_suspected,
+                      server,
+                      "handshakes unanswered in this server's data centre",
+                      out);
     }
 }
 
-void reachability::on_opened(server_id server,
-                             data_centre_id data_centre,
-                             forwarder_effects& out)
+void reachability::on_opened(asked_server const& server, forwarder_effects& out)
 {
-    if (auto const found = servers_.find(server); found != servers_.end())
+    if (auto const found = servers_.find(server.id); found != servers_.end())
     {
         if (found->second.suspected)
         {
-            log_subject(decision::server_answers, server.value, out);
+            log_suspicion(
+                decision::server_answers, server, "handshake answered", out);
         }
         servers_.erase(found);
     }
-    auto const around = data_centres_.find(data_centre);
+    auto const around = data_centres_.find(server.data_centre);
     if (around == data_centres_.end())
     {
         return;
     }
     if (around->second.suspected)
     {
-        log_subject(decision::data_centre_answers, data_centre.value, out);
+        log_suspicion(decision::data_centre_answers,
+                      server,
+                      "handshake answered in this server's data centre",
+                      out);
     }
     auto const silent = around->second.silent;
     around->second = {.silent = silent};
--- a/dotterelrouter/reachability/reachability.hpp
+++ b/dotterelrouter/reachability/reachability.hpp
@@ -1,9 +1,9 @@
 // Which backend servers open flows when asked, as far as callers' packets
-// tell. Include "dotterelrouter/reachability/reachability.hpp".
+// tell.
 //
 //     reachability seen(own_data_centre);
-//     seen.on_unanswered(server, data_centre, now, out);
-//     seen.on_opened(server, data_centre, now, out);
+//     seen.on_unanswered({id, data_centre, name}, now, out);
+//     seen.on_opened({id, data_centre, name}, out);
 //     if (seen.data_centre_usable(data_centre, now) &&
 //         seen.server_usable(server, now)) { ... }
 //
@@ -15,11 +15,20 @@
 
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
+#include <string_view>
 #include <unordered_map>
 
 namespace dotterelrouter
 {
 
+/// A server that was asked to open a flow.
+struct asked_server
+{
+    server_id id;
+    data_centre_id data_centre;
+    std::string_view name{}; ///< For the log.
+};
+
 /// Follows who answers handshakes.
 class reachability
 {
@@ -29,15 +38,12 @@
     }
 
     /// A server did not open a flow in the usual time.
-    void on_unanswered(server_id server,
-                       data_centre_id data_centre,
+    void on_unanswered(asked_server const& server,
                        instant now,
                        forwarder_effects& out);
 
     /// A caller acknowledged a server's handshake.
-    void on_opened(server_id server,
-                   data_centre_id data_centre,
-                   forwarder_effects& out);
+    void on_opened(asked_server const& server, forwarder_effects& out);
 
     /// A server started anew: what it did before says nothing.
     void on_started(server_id server);
--- a/dotterelrouter/reachability/reachability_test.cpp
+++ b/dotterelrouter/reachability/reachability_test.cpp
@@ -25,7 +25,7 @@
 
     void miss(std::uint32_t server, data_centre_id where)
     {
-        seen.on_unanswered(id_of(server), where, now, out);
+        seen.on_unanswered({id_of(server), where}, now, out);
     }
 
     bool usable(std::uint32_t server, data_centre_id where)
@@ -51,7 +51,7 @@
 {
     miss(1, own);
     miss(1, own);
-    seen.on_opened(id_of(1), own, out);
+    seen.on_opened({id_of(1), own}, out);
     CHECK(usable(1, own));
     LONGS_EQUAL(1, logged(out, decision::server_answers));
 }
@@ -74,7 +74,7 @@
     miss(3, other);
     CHECK(!usable(4, other));
     CHECK(usable(5, own));
-    seen.on_opened(id_of(4), other, out);
+    seen.on_opened({id_of(4), other}, out);
     CHECK(usable(4, other));
     LONGS_EQUAL(1, logged(out, decision::data_centre_answers));
 }
@@ -85,7 +85,7 @@
     miss(1, other);
     CHECK(!usable(4, other));
     seen.on_silent(other, false);
-    seen.on_opened(id_of(4), other, out);
+    seen.on_opened({id_of(4), other}, out);
     miss(1, other);
     CHECK(usable(4, other));
 }
