--- a/testing/forwarding/fleet.cpp
+++ b/testing/forwarding/fleet.cpp
@@ -15,6 +15,7 @@
 constexpr duration peer_trip = 1ms;
 constexpr duration handshake_trip = 7ms;
 constexpr duration watch_length = 800ms;
+constexpr duration question_timeout = 400ms;
 
 // The bounds of the rules.
 constexpr duration in_touch_after = 4s;
@@ -313,70 +314,90 @@
                       std::move(happened)});
 }
 
-void forwarder_fleet::advance(steady_time until)
+std::optional<std::size_t> forwarder_fleet::next_waking(steady_time until) const
 {
-    for (;;)
+    std::optional<std::size_t> waking;
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
     {
-        auto next = until;
-        std::optional<std::size_t> waking;
-        for (std::size_t i = 0; i < nodes_.size(); ++i)
-        {
-            auto const wake = std::max(nodes_[i].wake, nodes_[i].paused_until);
-            if (wake < next)
-            {
-                next = wake;
-                waking = i;
-            }
-        }
-        auto const deliver =
-            !deliveries_.empty() && deliveries_.top().when <= next;
-        next = deliver ? deliveries_.top().when : next;
-        auto const turn = !turns_.empty() && turns_.top().when < next;
-        next = turn ? turns_.top().when : next;
-        auto const hand_shake =
-            !handshakes_.empty() && handshakes_.begin()->first < next;
-        next = hand_shake ? handshakes_.begin()->first : next;
-        if (next >= until)
-        {
-            break;
-        }
-        now_.wall += next - std::min(next, now_.steady);
-        now_.steady = std::max(now_.steady, next);
-        if (hand_shake)
+        auto const wake = std::max(nodes_[i].wake, nodes_[i].paused_until);
+        if (wake < until)
         {
-            auto const one = handshakes_.begin()->second;
-            handshakes_.erase(handshakes_.begin());
-            on_handshake(one.port, one.server, one.token);
-        }
-        else if (turn)
-        {
-            auto const port = turns_.top().port;
-            turns_.pop();
-            caller_acts(port);
-        }
-        else if (deliver)
-        {
-            auto one = deliveries_.top();
-            deliveries_.pop();
-            auto const& to = nodes_[one.to];
-            if (one.generation != to.generation)
-            {
-                continue;
-            }
-            if (now_.steady < to.paused_until)
-            {
-                one.when = to.paused_until;
-                deliveries_.push(std::move(one));
-                continue;
-            }
-            give(one.to, one.happened);
-        }
-        else if (waking)
-        {
-            nodes_[*waking].wake = steady_time::max();
-            give(*waking, timer_fired{});
+            until = wake;
+            waking = i;
         }
     }
+    return waking;
+}
+
+void forwarder_fleet::deliver_next()
+{
+    auto one = deliveries_.top();
+    deliveries_.pop();
+    auto const& to = nodes_[one.to];
+    if (one.generation != to.generation)
+    {
+        return;
+    }
+    if (now_.steady < to.paused_until)
+    {
+        one.when = to.paused_until;
+        deliveries_.push(std::move(one));
+        return;
+    }
+    give(one.to, one.happened);
+}
+
+/// Runs the first thing that is due before `until`; false if there is none.
+bool forwarder_fleet::run_next(steady_time until)
+{
+    auto next = until;
+    auto const waking = next_waking(next);
+    if (waking)
+    {
+        next = std::max(nodes_[*waking].wake, nodes_[*waking].paused_until);
+    }
+    auto const deliver = !deliveries_.empty() && deliveries_.top().when <= next;
+    next = deliver ? deliveries_.top().when : next;
+    auto const turn = !turns_.empty() && turns_.top().when < next;
+    next = turn ? turns_.top().when : next;
+    auto const greets =
+        !handshakes_.empty() && handshakes_.begin()->first < next;
+    next = greets ? handshakes_.begin()->first : next;
+    if (next >= until)
+    {
+        return false;
+    }
+    now_.wall += next - std::min(next, now_.steady);
+    now_.steady = std::max(now_.steady, next);
+    if (greets)
+    {
+        auto const one = handshakes_.begin()->second;
+        handshakes_.erase(handshakes_.begin());
+        on_handshake(one.port, one.server, one.token);
+    }
+    else if (turn)
+    {
+        auto const port = turns_.top().port;
+        turns_.pop();
+        caller_acts(port);
+    }
+    else if (deliver)
+    {
+        deliver_next();
+    }
+    else
+    {
+        nodes_[*waking].wake = steady_time::max();
+        give(*waking, timer_fired{});
+    }
+    return true;
+}
+
+void forwarder_fleet::advance(steady_time until)
+{
+    while (run_next(until))
+    {
+    }
     now_.wall += until - now_.steady;
     now_.steady = until;
 }
@@ -394,7 +415,12 @@
     nodes_[index].state->reduce(happened, now_, out);
     for (auto const& wanted : out)
     {
-        carry_out(index, wanted);
+        std::visit(
+            [&](auto const& one)
+            {
+                carry_out(index, one);
+            },
+            wanted);
     }
     auto& one = nodes_[index];
     auto const version = one.state->gauges(now_).version;
@@ -418,82 +444,84 @@
     return cuts_.contains({left, right});
 }
 
-void forwarder_fleet::carry_out(std::size_t index,
-                                forwarder_effect const& wanted)
+void forwarder_fleet::carry_out(std::size_t index, forward_packet const& wanted)
 {
-    auto& self = nodes_[index];
-    if (auto const* const packet = std::get_if<forward_packet>(&wanted))
-    {
-        on_server_packet(index, *packet);
-    }
-    else if (auto const* const refused = std::get_if<refuse_flow>(&wanted))
-    {
-        auto& one = flows_[refused->flow.caller.port];
-        if (one.server)
-        {
-            violate("an open flow was refused");
-        }
-        one.packets_left = 0;
-    }
-    else if (std::holds_alternative<read_snapshot>(wanted))
+    on_server_packet(index, wanted);
+}
+
+void forwarder_fleet::carry_out(std::size_t /*index*/,
+                                refuse_flow const& wanted)
+{
+    auto& one = flows_[wanted.flow.caller.port];
+    if (one.server)
     {
-        if (!store_answers(self))
-        {
-            send_later(
-                index, store_trip, store_read_failed{store_failure::refused});
-            return;
-        }
-        snapshot_page_read page;
-        page.update = snapshot();
-        send_later(index, store_trip, std::move(page));
+        violate("an open flow was refused");
     }
-    else if (auto const* const watch = std::get_if<watch_changes>(&wanted))
+    one.packets_left = 0;
+}
+
+void forwarder_fleet::carry_out(std::size_t index,
+                                read_snapshot const& /*wanted*/)
+{
+    if (!store_answers(nodes_[index]))
     {
-        self.watching_since = now_.steady;
-        self.watch_after = watch->after;
+        send_later(
+            index, store_trip, store_read_failed{store_failure::refused});
+        return;
     }
-    else if (auto const* const beat = std::get_if<send_heartbeat>(&wanted))
+    snapshot_page_read page;
+    page.update = snapshot();
+    send_later(index, store_trip, std::move(page));
+}
+
+void forwarder_fleet::carry_out(std::size_t index, watch_changes const& wanted)
+{
+    nodes_[index].watching_since = now_.steady;
+    nodes_[index].watch_after = wanted.after;
+}
+
+void forwarder_fleet::carry_out(std::size_t index, send_heartbeat const& wanted)
+{
+    auto const to = node_at(wanted.to);
+    if (to && !cut(index, *to))
     {
-        auto const to = node_at(beat->to);
-        if (to && !cut(index, *to))
-        {
-            send_later(
-                *to, peer_trip, heartbeat_received{self.where, *beat->message});
-        }
+        send_later(*to,
+                   peer_trip,
+                   heartbeat_received{nodes_[index].where, *wanted.message});
     }
-    else if (auto const* const asked = std::get_if<ask_changes>(&wanted))
+}
+
+void forwarder_fleet::carry_out(std::size_t index, ask_changes const& wanted)
+{
+    auto const to = node_at(wanted.from);
+    if (!to || cut(index, *to))
     {
-        auto const to = node_at(asked->from);
-        if (!to || cut(index, *to))
-        {
-            send_later(index, 400ms, peer_changes_failed{asked->from});
-            return;
-        }
-        auto const exchange = static_cast<std::uint64_t>(index)
-                                  << exchange_shift |
-                              (self.generation & UINT32_MAX);
-        send_later(*to, peer_trip, changes_asked{exchange, asked->after});
-    }
-    else if (auto const* const answer = std::get_if<answer_changes>(&wanted))
-    {
-        auto const to =
-            static_cast<std::size_t>(answer->exchange >> exchange_shift);
-        peer_changes_received changes;
-        changes.from = self.where;
-        changes.update = answer->update;
-        changes.age = answer->age;
-        if ((nodes_[to].generation & UINT32_MAX) ==
-            (answer->exchange & UINT32_MAX))
-        {
-            send_later(to, peer_trip, std::move(changes));
-        }
+        send_later(index, question_timeout, peer_changes_failed{wanted.from});
+        return;
     }
-    else if (auto const* const wake = std::get_if<wake_at>(&wanted))
+    auto const exchange = static_cast<std::uint64_t>(index) << exchange_shift |
+                          (nodes_[index].generation & UINT32_MAX);
+    send_later(*to, peer_trip, changes_asked{exchange, wanted.after});
+}
+
+void forwarder_fleet::carry_out(std::size_t index, answer_changes const& wanted)
+{
+    auto const to = static_cast<std::size_t>(wanted.exchange >> exchange_shift);
+    peer_changes_received changes;
+    changes.from = nodes_[index].where;
+    changes.update = wanted.update;
+    changes.age = wanted.age;
+    if ((nodes_[to].generation & UINT32_MAX) == (wanted.exchange & UINT32_MAX))
     {
-        self.wake = wake->when;
+        send_later(to, peer_trip, std::move(changes));
     }
 }
 
+void forwarder_fleet::carry_out(std::size_t index, wake_at const& wanted)
+{
+    nodes_[index].wake = wanted.when;
+}
+
 void forwarder_fleet::on_server_packet(std::size_t from,
                                        forward_packet const& packet)
 {
--- a/testing/forwarding/fleet.hpp
+++ b/testing/forwarding/fleet.hpp
@@ -138,8 +138,26 @@
     void write_server(std::uint32_t number, server_state state, bool gone);
     void begin_flows();
     void advance(steady_time until);
+    bool run_next(steady_time until);
+    void deliver_next();
+    [[nodiscard]] std::optional<std::size_t>
+    next_waking(steady_time until) const;
     void give(std::size_t index, forwarder_event const& happened);
-    void carry_out(std::size_t index, forwarder_effect const& wanted);
+    void carry_out(std::size_t index, forward_packet const& wanted);
+    void carry_out(std::size_t index, refuse_flow const& wanted);
+    void carry_out(std::size_t index, read_snapshot const& wanted);
+    void carry_out(std::size_t index, watch_changes const& wanted);
+    void carry_out(std::size_t index, send_heartbeat const& wanted);
+    void carry_out(std::size_t index, ask_changes const& wanted);
+    void carry_out(std::size_t index, answer_changes const& wanted);
+    void carry_out(std::size_t index, wake_at const& wanted);
+
+    /// Readiness, logs and counters are not modelled.
+    template <class Other>
+    void carry_out(std::size_t /*index*/, Other const& /*wanted*/)
+    {
+    }
+
     void send_later(std::size_t to, duration after, forwarder_event happened);
     void answer_watches();
     [[nodiscard]] forwarder_event watch_answer(node const& of) const;
--- a/testing/process/forwarder_process_test.cpp
+++ b/testing/process/forwarder_process_test.cpp
@@ -251,10 +251,10 @@
                        text_of(vm(2), control_port)}},
             {"platform", {{"Address", text_of(store_ip, store_port)}}}};
         std::ofstream{settings_of(number)} << settings.dump();
-        return run(number);
+        return start_again(number);
     }
 
-    child_process run(std::uint32_t number)
+    child_process start_again(std::uint32_t number)
     {
         setenv("DOTTERELROUTER_BOOT", settings_of(number).c_str(), 1);
         std::array<std::string, 2> const arguments{FORWARDER_PROGRAM,
@@ -281,7 +281,7 @@
         caller->send({vm(through), packet_port}, bytes);
         for (;;)
         {
-            auto const seen = servers.front()->receive(limit);
+            auto seen = servers.front()->receive(limit);
             if (seen.empty() || seen[number_size + 10] == bytes[10])
             {
                 return seen;
@@ -338,7 +338,7 @@
     store->set_away(true);
     one.signal(SIGKILL);
     one.wait();
-    one = run(1);
+    one = start_again(1);
     CHECK(becomes_ready(1, 5s));
     CHECK(!pass(1, packet(caller_ip, 4002, open_flag)).empty());
 }
@@ -409,7 +409,7 @@
 TEST(forwarder_process, settings_that_cannot_be_used_end_with_code_2)
 {
     std::ofstream{settings_of(1)} << R"({"NodeName": "x", "Zone": 5})";
-    auto child = run(1);
+    auto child = start_again(1);
     LONGS_EQUAL(2, child.wait().value_or(-1));
     CHECK(logged(1).find("Zone") != std::string::npos);
 }
