Take no silence in the first second of a process as a sign about servers

Cause: after all VMs lost power some forwarders suspected a data centre for half a second though nothing was cut (emsq, inc-28a2): the routers move flows as VMs come back, so that acknowledgements go to other forwarders.

--- a/dotterelrouter/forwarder/forwarder_test.cpp
+++ b/dotterelrouter/forwarder/forwarder_test.cpp
@@ -57,12 +57,25 @@
         give(page);
     }
 
+    /// A forwarder that has just started.
     void begin(std::vector<server_record> servers)
     {
         give(timer_fired{});
         read(std::move(servers));
     }
 
+    /// One that has run for a while.
+    void settle()
+    {
+        for (int i = 0; i < 5; ++i)
+        {
+            pass(250ms);
+        }
+        changes_read changes;
+        changes.update.through = {10};
+        give(changes);
+    }
+
     /// The only packet that is forwarded by the last event.
     forward_packet sent()
     {
@@ -379,9 +392,27 @@
     LONGS_EQUAL(0, suspected);
 }
 
+/// After all VMs lost power some suspected a data centre, though only the
+/// routers had moved flows (incident inc-28a2 of emsq).
+TEST(forwarder, silence_just_after_the_start_says_nothing_of_servers)
+{
+    begin({server(1, 10), server(2, 10), server(3, 10), server(4, 10)});
+    std::size_t suspected = 0;
+    for (std::uint16_t port = 1; port <= 10; ++port)
+    {
+        give(packet(flow(port), packet_type::open));
+        pass(30ms);
+        suspected += logged(out, decision::server_suspected);
+        pass(60ms);
+        suspected += logged(out, decision::server_suspected);
+    }
+    LONGS_EQUAL(0, suspected);
+}
+
 TEST(forwarder, most_servers_silent_puts_the_view_in_doubt)
 {
     begin({server(1, 10), server(2, 10), server(3, 10)});
+    settle();
     // Nothing ever opens.
     for (std::uint16_t port = 1; port <= 20; ++port)
     {
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -35,6 +35,10 @@
 /// Flows for a server whose entry lapsed, as a part of the usual.
 constexpr double lapsed_weight = 0.5;
 
+/// Forwarders that start together change which of them gets a flow's next
+/// packet; acknowledgements go elsewhere meanwhile.
+constexpr duration start_settling = std::chrono::seconds{1};
+
 /// Packets that waited while this process did not run are read by then.
 constexpr duration resume_settling = std::chrono::milliseconds{100};
 
@@ -352,7 +356,7 @@
                                 instant now,
                                 forwarder_effects& out)
 {
-    if (!is_evidence(flow))
+    if (!is_evidence(flow) || now.steady - *started_ < start_settling)
     {
         return;
     }
