--- a/standins/store/store.cpp
+++ b/standins/store/store.cpp
@@ -125,7 +125,7 @@
         }
     }
 
-    json describe(std::string const& key, item const& one) const
+    static json describe(std::string_view key, item const& one)
     {
         if (one.removed)
         {
--- a/testing/forwarding/fleet.cpp
+++ b/testing/forwarding/fleet.cpp
@@ -56,13 +56,13 @@
     return std::uniform_real_distribution<double>{0, 1}(random_) < share;
 }
 
-void forwarder_fleet::violate(std::string const& what)
+void forwarder_fleet::violate(std::string_view what)
 {
     if (outcome_.violation.empty())
     {
         auto const at = now_.steady - steady_time{1h};
         outcome_.violation =
-            what + " at " +
+            std::string{what} + " at " +
             std::to_string(
                 std::chrono::duration_cast<std::chrono::milliseconds>(at)
                     .count()) +
--- a/testing/forwarding/fleet.hpp
+++ b/testing/forwarding/fleet.hpp
@@ -15,6 +15,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -173,7 +174,7 @@
     void
     on_handshake(std::uint16_t port, std::uint32_t server, route_token token);
     void check_later(model_flow const& flow, std::uint32_t server);
-    void violate(std::string const& what);
+    void violate(std::string_view what);
 
     std::mt19937_64 random_;
     fleet_faults faults_;
