--- a/dotterelrouter/directory/directory.hpp
+++ b/dotterelrouter/directory/directory.hpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -32,6 +33,13 @@
     steady_time cold_until{}; ///< Slow until then.
 };
 
+/// Its name for the log; "unknown" if there is none.
+[[nodiscard]] inline std::string_view name_of(known_server const* server)
+{
+    return server == nullptr ? std::string_view{"unknown"}
+                             : std::string_view{server->record.name};
+}
+
 /// What an update changed.
 struct directory_changes
 {
