Hold requests whose slot went to a balancer not heard of yet

A slot was handed over to a balancer that had just joined; a third one learned of the new assignment before it had heard of that member (0.23 s later), took its owner for unreachable and served an idempotent request itself, at another server. Ruled out: the refused retry that was noted before; it followed the move.

--- a/dotterelrouter/balancer/internal/request_arrival_impl.hpp
+++ b/dotterelrouter/balancer/internal/request_arrival_impl.hpp
@@ -162,7 +162,7 @@
     {
         return decision{route::pass, reason::not_owner, next->data};
     }
-    if (newly_started(at.now))
+    if (newly_started(at.now) || owner_is_new(slot, at))
     {
         return decision{route::hold};
     }
@@ -243,6 +243,13 @@
     return !started_ || now.steady < *started_ + settings_.acquaintance;
 }
 
+template <class Rules>
+bool request_path<Rules>::owner_is_new(slot_id slot, context const& at) const
+{
+    auto const owner = at.slots.owner_of(slot);
+    return owner && !at.members.heard_of(*owner);
+}
+
 template <class Rules>
 std::optional<request_ticket>
 request_path<Rules>::add(request_packet const& packet,
--- a/dotterelrouter/balancer/internal/request_path.hpp
+++ b/dotterelrouter/balancer/internal/request_path.hpp
@@ -162,6 +162,9 @@
                                         context const& at);
     [[nodiscard]] bool expects(slot_id slot, instant now) const;
     [[nodiscard]] bool newly_started(instant now) const;
+    /// The slot went to a member that has not been heard of here. It knows the
+    /// slot's flows, so that serving a request here could move its flow.
+    [[nodiscard]] bool owner_is_new(slot_id slot, context const& at) const;
     void on_repeat(request_ticket ticket,
                    request_packet const& packet,
                    context const& at);
--- a/dotterelrouter/membership/membership.cpp
+++ b/dotterelrouter/membership/membership.cpp
@@ -218,6 +218,22 @@
            !details_[index_of(id.control)].unanswered;
 }
 
+bool membership::heard_of(member_id id) const
+{
+    if (id.control == self_.id.control)
+    {
+        return id.incarnation <= self_.id.incarnation;
+    }
+    auto const index = index_of(id.control);
+    if (index != none && records_[index].id.incarnation >= id.incarnation)
+    {
+        return true;
+    }
+    auto const died = dead_.find(id.control);
+    return died != dead_.end() &&
+           died->second.record.id.incarnation >= id.incarnation;
+}
+
 bool membership::gone(member_id id, steady_time known_since) const
 {
     if (id.control == self_.id.control)
--- a/dotterelrouter/membership/membership.hpp
+++ b/dotterelrouter/membership/membership.hpp
@@ -113,6 +113,10 @@
     /// Not suspected by the fleet, and it answered our own last probe.
     [[nodiscard]] bool reachable(member_id id) const;
 
+    /// This incarnation or a later one is or was a member here. False for one
+    /// that has just joined and is named by others only.
+    [[nodiscard]] bool heard_of(member_id id) const;
+
     /// Certain enough that it runs no more: a newer incarnation lives on its
     /// control endpoint, or the VM list has not shown it and nobody has
     /// heard of it for longer than the list lags. `known_since` is a time
--- a/dotterelrouter/membership/membership_test.cpp
+++ b/dotterelrouter/membership/membership_test.cpp
@@ -272,6 +272,20 @@
     CHECK_FALSE(all[0].gone(record_of(4, 2).id, known_since));
 }
 
+TEST(membership, newcomer_and_new_incarnation_are_not_heard_of_at_first)
+{
+    fleet all{5};
+    all.run(10s);
+    CHECK_TRUE(all[0].heard_of(record_of(0, 1).id));
+    CHECK_TRUE(all[0].heard_of(record_of(4, 1).id));
+    CHECK_FALSE(all[0].heard_of(record_of(4, 2).id));
+    CHECK_FALSE(all[0].heard_of(record_of(5, 1).id));
+    all.nodes[4].state.reset();
+    all.run(10s);
+    CHECK_TRUE(all[0].find(record_of(4, 1).id) == nullptr);
+    CHECK_TRUE(all[0].heard_of(record_of(4, 1).id));
+}
+
 TEST(membership, leaving_is_told_and_no_death)
 {
     fleet all{5};
