Count turns before a peer in a large fleet is lost, and spread heartbeats

In the model of the new tests two more faults showed: all processes that started together sent to the same peers in the same interval, and named those same peers to them. Ruled out: shorter intervals (bytes); a hash ring of who watches whom. Change: silence is counted in turns; a data centre is silent when none of its forwarders is heard for 0.9 s, as before; turns begin at different peers; names are drawn at random, 8 a message; beyond 128 peers 8 get a heartbeat. A directory is stale later in large fleets, one forwarder after the other, so that the first to turn to the store can tell the rest. No change up to 16. Tests: large_fleet (four), one each for losses, readers, their deaths, bytes.

--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -178,7 +178,7 @@
     armed_.reset();
     directory_.on_timer(now, out);
     peers_.on_timer(own_heartbeat(now), now, out);
-    for (auto const& [data_centre, live] : peers_.data_centres())
+    for (auto const& [data_centre, live] : peers_.data_centres(now))
     {
         reachability_.on_silent(data_centre, !live);
     }
@@ -258,8 +258,12 @@
             log_decision{.what = decision::reader_changed,
                          .reason = chosen ? "reads the store" : "asks others"});
     }
-    reader_.run(
-        chosen || freshness_.stale(now), directory_.revision(), now, out);
+    reader_.run(chosen || stale(now), directory_.revision(), now, out);
+}
+
+bool forwarder::stale(instant now) const
+{
+    return freshness_.stale(peers_.stale_limit(), now);
 }
 
 void forwarder::note_freshness(instant now, forwarder_effects& out)
@@ -331,7 +335,7 @@
     std::initializer_list<std::optional<steady_time>> const others = {
         directory_.next_wake(),
         flows_.next_wake(),
-        freshness_.stale_at(),
+        freshness_.stale_at(peers_.stale_limit()),
         shutdown_ ? std::optional{now.steady + shutdown_check} : std::nullopt};
     for (auto const& other : others)
     {
@@ -345,7 +349,7 @@
         }
     }
     if (auto const retry = reader_.may_start_at();
-        retry && *retry > now.steady && (was_reader_ || freshness_.stale(now)))
+        retry && *retry > now.steady && (was_reader_ || stale(now)))
     {
         next = std::min(next, *retry);
     }
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -149,6 +149,8 @@
     take(directory_update const& update, instant now, forwarder_effects& out);
     void note_unreadable(std::uint32_t entries, forwarder_effects& out);
     void run_reader(instant now, forwarder_effects& out);
+    /// Whether the directory is too old to go by without asking the store.
+    [[nodiscard]] bool stale(instant now) const;
     void note_freshness(instant now, forwarder_effects& out);
     [[nodiscard]] heartbeat own_heartbeat(instant now) const;
 
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -142,7 +142,7 @@
                                .revision = directory_.revision().value,
                                .age = freshness_.age(now)});
     // A directory that may be old can't tell that a route isn't there.
-    if (!freshness_.stale(now))
+    if (!stale(now))
     {
         out.push_back(refuse_flow{packet.flow});
     }
--- a/dotterelrouter/replication/internal/freshness.hpp
+++ b/dotterelrouter/replication/internal/freshness.hpp
@@ -10,10 +10,8 @@
 namespace dotterelrouter
 {
 
-/// A directory older than this is read from the store by its forwarder.
-inline constexpr duration stale_after = std::chrono::milliseconds{1200};
-
-/// When the directory was last known to be what the store has.
+/// When the directory was last known to be what the store has. A limit is the
+/// age from which a directory is stale.
 class freshness
 {
 public:
@@ -31,16 +29,15 @@
                           : std::nullopt;
     }
 
-    [[nodiscard]] bool stale(instant now) const
+    [[nodiscard]] bool stale(duration limit, instant now) const
     {
-        return !confirmed_ || now.steady - *confirmed_ >= stale_after;
+        return !confirmed_ || now.steady - *confirmed_ >= limit;
     }
 
     /// When it turns stale if nothing is heard.
-    [[nodiscard]] std::optional<steady_time> stale_at() const
+    [[nodiscard]] std::optional<steady_time> stale_at(duration limit) const
     {
-        return confirmed_ ? std::optional{*confirmed_ + stale_after}
-                          : std::nullopt;
+        return confirmed_ ? std::optional{*confirmed_ + limit} : std::nullopt;
     }
 
 private:
--- a/dotterelrouter/replication/internal/peers.hpp
+++ b/dotterelrouter/replication/internal/peers.hpp
@@ -85,10 +85,31 @@
     /// Somebody live, of the own data centre if possible.
     [[nodiscard]] std::optional<endpoint> somebody() const;
 
-    /// Data centres whose forwarders were heard, and if any is live.
-    [[nodiscard]] std::map<data_centre_id, bool> data_centres() const;
+    /// Data centres whose forwarders were heard, and if any of them was heard
+    /// lately.
+    [[nodiscard]] std::map<data_centre_id, bool>
+    data_centres(instant now) const;
+
+    /// Age from which this forwarder's directory is stale, and it reads the
+    /// store itself. In a large fleet news takes several heartbeats to come
+    /// round, and forwarders turn to the store one after the other, so that
+    /// the first ones can tell the rest.
+    [[nodiscard]] duration stale_limit() const
+    {
+        return stale_limit_;
+    }
 
 private:
+    /// Live forwarders, this one included.
+    [[nodiscard]] std::size_t live_count() const;
+    /// Most peers that get one heartbeat.
+    [[nodiscard]] std::size_t fanout() const;
+    /// A peer silent for this long is taken as not live.
+    [[nodiscard]] duration live_window() const;
+    /// True if a peer comes before this forwarder as a reader of the store.
+    [[nodiscard]] bool stands_before(endpoint where, peer const& one) const;
+    [[nodiscard]] duration current_stale_limit() const;
+    [[nodiscard]] bool is_seed(endpoint where) const;
     void add_known(endpoint where, instant now);
     void drop_silent(instant now, forwarder_effects& out);
     [[nodiscard]] std::vector<std::uint32_t> some_ips() const;
@@ -97,6 +118,8 @@
     std::map<endpoint, peer> peers_{};
     steady_time next_beat_{};
     std::uint64_t beats_ = 0;
+    std::size_t before_ = 0; ///< Peers that stand before this forwarder.
+    duration stale_limit_;   ///< As of the last heartbeat that was due.
 };
 
 } // namespace dotterelrouter
--- a/dotterelrouter/replication/peers.cpp
+++ b/dotterelrouter/replication/peers.cpp
@@ -8,21 +8,31 @@
 namespace
 {
 
-/// A peer silent for this long is taken as not live.
-constexpr duration live_for = std::chrono::milliseconds{900};
+/// A peer that is due in each heartbeat and silent for this long is taken as
+/// not live; so is a data centre of which nobody is heard.
+constexpr duration shortest_live_window = std::chrono::milliseconds{900};
+/// Turns that a peer may miss where heartbeats go to some peers at a time.
+constexpr int turns_missed = 3;
 /// A peer silent for this long is forgotten.
 constexpr duration known_for = std::chrono::seconds{120};
-/// Peers that are not live get every so manieth heartbeat.
-constexpr std::uint64_t beats_between_calls = 4;
-/// Most peers that get one heartbeat.
-constexpr std::size_t fanout = 16;
+/// Most peers that get one heartbeat, in fleets up to a size and in larger
+/// ones, where bytes for control would grow too many.
+constexpr std::size_t usual_fanout = 16;
+constexpr std::size_t large_fanout = 8;
+constexpr std::size_t large_fleet = 128;
 /// Most forwarders named in one heartbeat.
-constexpr std::size_t most_ips = 16;
+constexpr std::size_t most_ips = 8;
 /// Forwarders that read the store at a time.
 constexpr std::size_t reader_count = 2;
 /// After this a question counts as lost.
 constexpr duration question_timeout = std::chrono::milliseconds{400};
 
+/// Age of a stale directory where each heartbeat reaches everybody.
+constexpr duration least_stale_limit = std::chrono::milliseconds{1200};
+/// Between one forwarder's turn to read a stale directory and the next one's.
+constexpr duration read_turn = std::chrono::milliseconds{120};
+constexpr std::size_t most_read_turns = 8;
+
 std::uint64_t rank_of(endpoint where)
 {
     return mix(hash_of(where));
@@ -30,7 +40,8 @@
 
 } // namespace
 
-peers::peers(peers_settings settings) : settings_(std::move(settings))
+peers::peers(peers_settings settings)
+    : settings_(std::move(settings)), stale_limit_(least_stale_limit)
 {
     for (auto const seed : settings_.seeds)
     {
@@ -41,6 +52,11 @@
     }
 }
 
+bool peers::is_seed(endpoint where) const
+{
+    return std::ranges::count(settings_.seeds, where) != 0;
+}
+
 void peers::add_known(endpoint where, instant now)
 {
     if (where != settings_.self && !peers_.contains(where))
@@ -78,12 +94,14 @@
         out.push_back(log_decision{.what = decision::peer_found,
                                    .subject = to_string(from)});
     }
+    before_ -= stands_before(from, sender) ? 1 : 0;
     sender.heard = now.steady;
     sender.incarnation = message.incarnation;
     sender.data_centre = message.data_centre;
     sender.live = true;
     sender.store_reachable = message.store_reachable;
     sender.leaving = message.leaving;
+    before_ += stands_before(from, sender) ? 1 : 0;
     for (auto const ip : message.ips)
     {
         add_known({ip, settings_.self.port}, now);
@@ -94,10 +112,12 @@
 
 void peers::drop_silent(instant now, forwarder_effects& out)
 {
+    auto const window = live_window();
     for (auto& [where, one] : peers_)
     {
-        if (one.live && now.steady - *one.heard > live_for)
+        if (one.live && now.steady - *one.heard > window)
         {
+            before_ -= stands_before(where, one) ? 1 : 0;
             one.live = false;
             out.push_back(log_decision{.what = decision::peer_lost,
                                        .subject = to_string(where)});
@@ -108,8 +128,7 @@
                   {
                       auto const& [where, one] = entry;
                       auto const last = one.heard.value_or(one.known_since);
-                      return now.steady - last > known_for &&
-                             std::ranges::count(settings_.seeds, where) == 0;
+                      return now.steady - last > known_for && !is_seed(where);
                   });
 }
 
@@ -117,7 +136,10 @@
 {
     std::vector<std::uint32_t> ips;
     std::size_t index = 0;
-    auto const start = peers_.empty() ? 0 : beats_ * most_ips % peers_.size();
+    // At random: in turns, each peer would hear of its neighbours only.
+    auto const start =
+        peers_.empty() ? 0
+                       : mix(settings_.incarnation + beats_) % peers_.size();
     for (auto const& [where, one] : peers_)
     {
         auto const place = (index++ + peers_.size() - start) % peers_.size();
@@ -144,19 +166,23 @@
     }
     next_beat_ = now.steady + heartbeat_interval;
     drop_silent(now, out);
+    stale_limit_ = current_stale_limit();
     ++beats_;
+    auto const most = fanout();
     message.ips = some_ips();
     auto const shared = std::make_shared<heartbeat const>(std::move(message));
     std::size_t index = 0;
-    auto const start = peers_.empty() ? 0 : beats_ * fanout % peers_.size();
+    // Turns begin at different peers, so that each is told something by
+    // somebody in every interval.
+    auto const start =
+        peers_.empty()
+            ? 0
+            : (rank_of(settings_.self) % peers_.size() + beats_ * most) %
+                  peers_.size();
     for (auto const& [where, one] : peers_)
     {
         auto const place = (index++ + peers_.size() - start) % peers_.size();
-        auto const due = one.live
-                             ? place < fanout
-                             : beats_ % beats_between_calls ==
-                                       rank_of(where) % beats_between_calls ||
-                                   !one.heard;
+        auto const due = place < most || (!one.heard && is_seed(where));
         if (due)
         {
             out.push_back(send_heartbeat{where, shared});
@@ -170,22 +196,57 @@
     on_timer(std::move(message), now, out);
 }
 
+std::size_t peers::live_count() const
+{
+    return 1 + static_cast<std::size_t>(
+                   std::ranges::count_if(peers_,
+                                         [](auto const& entry)
+                                         {
+                                             return entry.second.live;
+                                         }));
+}
+
+std::size_t peers::fanout() const
+{
+    return peers_.size() < large_fleet ? usual_fanout : large_fanout;
+}
+
+duration peers::live_window() const
+{
+    auto const most = fanout();
+    auto const turns = (peers_.size() + most - 1) / most;
+    return turns <= 1
+               ? shortest_live_window
+               : turns_missed * static_cast<int>(turns) * heartbeat_interval;
+}
+
+bool peers::stands_before(endpoint where, peer const& one) const
+{
+    return one.live && one.store_reachable && !one.leaving &&
+           rank_of(where) < rank_of(settings_.self);
+}
+
 bool peers::is_reader(bool store_reachable) const
 {
-    if (!store_reachable)
+    return store_reachable && before_ < reader_count;
+}
+
+duration peers::current_stale_limit() const
+{
+    auto limit = least_stale_limit;
+    auto const count = live_count();
+    auto const told = fanout() + 1;
+    if (count <= told)
     {
-        return false;
+        return limit;
+    }
+    for (auto reached = told; reached < count; reached *= told)
+    {
+        limit += heartbeat_interval;
     }
-    auto const own = rank_of(settings_.self);
-    auto const before =
-        std::ranges::count_if(peers_,
-                              [&](auto const& entry)
-                              {
-                                  auto const& [where, one] = entry;
-                                  return one.live && one.store_reachable &&
-                                         !one.leaving && rank_of(where) < own;
-                              });
-    return static_cast<std::size_t>(before) < reader_count;
+    auto const turn = before_ < reader_count ? 0 : before_ - reader_count;
+    return limit +
+           read_turn * static_cast<int>(std::min(turn, most_read_turns));
 }
 
 bool peers::begin_question(endpoint peer, instant now)
@@ -230,14 +291,15 @@
     return other;
 }
 
-std::map<data_centre_id, bool> peers::data_centres() const
+std::map<data_centre_id, bool> peers::data_centres(instant now) const
 {
     std::map<data_centre_id, bool> seen;
     for (auto const& [where, one] : peers_)
     {
         if (one.heard)
         {
-            seen[one.data_centre] |= one.live;
+            seen[one.data_centre] |=
+                now.steady - *one.heard <= shortest_live_window;
         }
     }
     return seen;
--- a/dotterelrouter/replication/replication_test.cpp
+++ b/dotterelrouter/replication/replication_test.cpp
@@ -225,5 +225,163 @@
     CHECK(longest <= 1600ms);
 }
 
+/// Forwarders of one fleet that exchange heartbeats without loss. Readers
+/// are current at all times, the others as the heartbeats say.
+struct heartbeat_fleet
+{
+    static constexpr duration tick = 25ms;
+    static constexpr duration watch = 800ms;
+
+    struct node
+    {
+        peers known;
+        freshness fresh{};
+        bool away = false;
+        steady_time read{};
+        int reads = 0;
+    };
+
+    explicit heartbeat_fleet(std::uint32_t size)
+    {
+        for (std::uint32_t number = 1; number <= size; ++number)
+        {
+            nodes.push_back({.known = peers{{.self = vm(number),
+                                             .data_centre = {number % 4},
+                                             .incarnation = number,
+                                             .seeds = {vm(1), vm(2)}}}});
+        }
+    }
+
+    void run(duration length)
+    {
+        for (auto const end = now.steady + length; now.steady < end;
+             now.steady += tick)
+        {
+            for (std::uint32_t at = 0; at < nodes.size(); ++at)
+            {
+                wake(at);
+            }
+        }
+    }
+
+    void wake(std::uint32_t at)
+    {
+        auto& one = nodes[at];
+        if (one.away)
+        {
+            return;
+        }
+        auto const may_read = now.steady >= one.read + watch;
+        if (may_read && (one.known.is_reader(true) ||
+                         one.fresh.stale(one.known.stale_limit(), now)))
+        {
+            one.read = now.steady;
+            one.fresh.on_confirmed(duration::zero(), now);
+            ++one.reads;
+        }
+        forwarder_effects out;
+        one.known.on_timer(
+            {.data_centre = {(at + 1) % 4}, .age = one.fresh.age(now)},
+            now,
+            out);
+        lost += logged(out, decision::peer_lost);
+        for (auto const& sent : all<send_heartbeat>(out))
+        {
+            ++beats;
+            deliver(at, sent);
+        }
+    }
+
+    void deliver(std::uint32_t from, send_heartbeat const& sent)
+    {
+        auto& to = nodes[sent.to.ip - vm(0).ip - 1];
+        if (to.away)
+        {
+            return;
+        }
+        forwarder_effects out;
+        if (to.known.on_heartbeat(vm(from + 1), *sent.message, {}, now, out)
+                .newcomer)
+        {
+            to.known.tell(vm(from + 1), {}, out);
+            nodes[from].known.on_heartbeat(sent.to, {}, {}, now, out);
+        }
+        if (sent.message->age)
+        {
+            to.fresh.on_confirmed(*sent.message->age, now);
+        }
+    }
+
+    int all_reads() const
+    {
+        int sum = 0;
+        for (auto const& one : nodes)
+        {
+            sum += one.reads;
+        }
+        return sum;
+    }
+
+    instant now{steady_time{1h}, wall_time{1h}};
+    std::vector<node> nodes;
+    std::size_t lost = 0;
+    std::size_t beats = 0;
+};
+
+// clang-format off
+TEST_GROUP(large_fleet)
+{
+    heartbeat_fleet fleet{66};
+
+    void take_readers_away()
+    {
+        for (auto& one : fleet.nodes)
+        {
+            one.away = one.known.is_reader(true);
+        }
+    }
+};
+
+// clang-format on
+
+TEST(large_fleet, nobody_is_lost_while_all_live)
+{
+    fleet.run(20s);
+    LONGS_EQUAL(0, fleet.lost);
+}
+
+TEST(large_fleet, two_read_the_store_and_the_others_stay_current)
+{
+    fleet.run(10s);
+    auto const before = fleet.all_reads();
+    fleet.run(8s);
+    LONGS_EQUAL(20, fleet.all_reads() - before);
+}
+
+TEST(large_fleet, few_turn_to_the_store_when_its_readers_are_gone)
+{
+    fleet.run(10s);
+    take_readers_away();
+    auto const before = fleet.all_reads();
+    fleet.run(6s);
+    // One watch each 0.8 s by two would be 15.
+    CHECK(fleet.all_reads() - before <= 30);
+    for (auto const& one : fleet.nodes)
+    {
+        CHECK(one.away || *one.fresh.age(fleet.now) < 2500ms);
+    }
+}
+
+TEST(large_fleet, each_sends_at_most_32_heartbeats_a_second)
+{
+    heartbeat_fleet large{200};
+    large.run(20s); // Until each knows all others.
+    auto const before = large.beats;
+    auto const lost = large.lost;
+    large.run(10s);
+    CHECK((large.beats - before) / 200 / 10 <= 32);
+    LONGS_EQUAL(lost, large.lost);
+}
+
 } // namespace
 } // namespace dotterelrouter
