Fetch news that many forwarders have from one of them

A forwarder asked every peer that was ahead, each for all that it lacked; one that had just started asked them all for the whole directory, beside reading the store. Ruled out: resending of whole directories to those who know one (changes_after sends what is newer); heartbeats (3.5 KB a second). Change: one question at a time, another one after 100 ms; the peer furthest ahead is asked, of the own data centre if it can be; who does not answer is passed over until heard. The store has 50 ms head start for whole directories. Tests: three of peers.

--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -12,6 +12,9 @@
 
 /// Others are found by then, so that few watch the store from the start.
 constexpr duration time_to_find_peers = std::chrono::milliseconds{300};
+/// The store hands out whole directories better than another forwarder, whose
+/// link may be narrow.
+constexpr duration store_head_start = std::chrono::milliseconds{50};
 /// Age of a directory that is worth a line in the log.
 constexpr duration alarming_age = std::chrono::seconds{3};
 /// What a heartbeat takes on its way, at most.
@@ -109,6 +112,7 @@
 {
     reader_.on_failure(e.why, now, out);
     run_reader(now, out);
+    ask_if_behind(now, out);
 }
 
 void forwarder::on(heartbeat_received const& e,
@@ -119,10 +123,7 @@
         peers_.on_heartbeat(e.from, e.message, directory_.revision(), now, out);
     if (outcome.behind)
     {
-        if (peers_.begin_question(e.from, now))
-        {
-            out.push_back(ask_changes{e.from, directory_.revision()});
-        }
+        ask_if_behind(now, out);
     }
     else if (e.message.age)
     {
@@ -152,13 +153,15 @@
     {
         freshness_.on_confirmed(*e.age + heartbeat_transit, now);
     }
+    ask_if_behind(now, out);
 }
 
 void forwarder::on(peer_changes_failed const& e,
-                   instant /*now*/,
-                   forwarder_effects& /*out*/)
+                   instant now,
+                   forwarder_effects& out)
 {
-    peers_.end_question(e.from);
+    peers_.fail_question(e.from);
+    ask_if_behind(now, out);
 }
 
 void forwarder::on(settings_reloaded const& e,
@@ -184,6 +187,7 @@
     }
     run_flows(now, out);
     run_reader(now, out);
+    ask_if_behind(now, out);
     note_freshness(now, out);
     run_shutdown(now, out);
 }
@@ -261,6 +265,21 @@
     reader_.run(chosen || stale(now), directory_.revision(), now, out);
 }
 
+void forwarder::ask_if_behind(instant now, forwarder_effects& out)
+{
+    auto const awaits_store = !directory_.ready() && !reader_.may_start_at() &&
+                              now.steady - *started_ < store_head_start;
+    if (awaits_store)
+    {
+        return;
+    }
+    auto const other = peers_.ahead_of(directory_.revision());
+    if (other && peers_.begin_question(*other, now))
+    {
+        out.push_back(ask_changes{*other, directory_.revision()});
+    }
+}
+
 bool forwarder::stale(instant now) const
 {
     return freshness_.stale(peers_.stale_limit(), now);
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -147,6 +147,8 @@
     // The directory.
     void
     take(directory_update const& update, instant now, forwarder_effects& out);
+    /// Asks a forwarder whose directory is ahead for what changed.
+    void ask_if_behind(instant now, forwarder_effects& out);
     void note_unreadable(std::uint32_t entries, forwarder_effects& out);
     void run_reader(instant now, forwarder_effects& out);
     /// Whether the directory is too old to go by without asking the store.
--- a/dotterelrouter/replication/internal/peers.hpp
+++ b/dotterelrouter/replication/internal/peers.hpp
@@ -33,7 +33,7 @@
     bool live = false;
     bool store_reachable = false;
     bool leaving = false;
-    std::optional<steady_time> asked{}; ///< A question is open since then.
+    store_revision revision{}; ///< Of its directory, when last heard.
 };
 
 /// What a heartbeat asks of its receiver.
@@ -78,9 +78,16 @@
     /// True if this forwarder is among those that read the store.
     [[nodiscard]] bool is_reader(bool store_reachable) const;
 
-    /// Notes an open question; false if one was asked too recently.
+    /// Whose directory is ahead of `own` by most, of the own data centre if
+    /// possible.
+    [[nodiscard]] std::optional<endpoint> ahead_of(store_revision own) const;
+
+    /// Notes a question for changes; false if enough are open, so that news
+    /// of many peers is fetched from one of them.
     bool begin_question(endpoint peer, instant now);
     void end_question(endpoint peer);
+    /// It was not answered: others are asked first until the peer is heard.
+    void fail_question(endpoint peer);
 
     /// Somebody live, of the own data centre if possible.
     [[nodiscard]] std::optional<endpoint> somebody() const;
@@ -110,12 +117,22 @@
     [[nodiscard]] bool stands_before(endpoint where, peer const& one) const;
     [[nodiscard]] duration current_stale_limit() const;
     [[nodiscard]] bool is_seed(endpoint where) const;
+    [[nodiscard]] bool asked(endpoint peer) const;
     void add_known(endpoint where, instant now);
     void drop_silent(instant now, forwarder_effects& out);
     [[nodiscard]] std::vector<std::uint32_t> some_ips() const;
 
     peers_settings settings_;
+
+    /// A question for changes that has no answer yet.
+    struct open_question
+    {
+        endpoint to;
+        steady_time asked;
+    };
+
     std::map<endpoint, peer> peers_{};
+    std::vector<open_question> questions_{};
     steady_time next_beat_{};
     std::uint64_t beats_ = 0;
     std::size_t before_ = 0; ///< Peers that stand before this forwarder.
--- a/dotterelrouter/replication/peers.cpp
+++ b/dotterelrouter/replication/peers.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t reader_count = 2;
 /// After this a question counts as lost.
 constexpr duration question_timeout = std::chrono::milliseconds{400};
+/// After this another peer may be asked as well.
+constexpr duration question_hedge = std::chrono::milliseconds{100};
 
 /// Age of a stale directory where each heartbeat reaches everybody.
 constexpr duration least_stale_limit = std::chrono::milliseconds{1200};
@@ -101,6 +103,7 @@
     sender.live = true;
     sender.store_reachable = message.store_reachable;
     sender.leaving = message.leaving;
+    sender.revision = message.revision;
     before_ += stands_before(from, sender) ? 1 : 0;
     for (auto const ip : message.ips)
     {
@@ -249,30 +252,66 @@
            read_turn * static_cast<int>(std::min(turn, most_read_turns));
 }
 
-bool peers::begin_question(endpoint peer, instant now)
+std::optional<endpoint> peers::ahead_of(store_revision own) const
 {
-    auto const found = peers_.find(peer);
-    if (found == peers_.end())
+    std::optional<endpoint> best;
+    auto most = own;
+    for (auto const& [where, one] : peers_)
     {
-        return false;
+        auto const nearer = best && one.revision == most &&
+                            one.data_centre == settings_.data_centre;
+        if (one.live && !asked(where) && (one.revision > most || nearer))
+        {
+            best = where;
+            most = one.revision;
+        }
     }
-    auto& asked = found->second.asked;
-    if (asked && now.steady - *asked < question_timeout)
+    return best;
+}
+
+bool peers::asked(endpoint peer) const
+{
+    return std::ranges::count(questions_, peer, &open_question::to) != 0;
+}
+
+bool peers::begin_question(endpoint peer, instant now)
+{
+    std::erase_if(questions_,
+                  [&](open_question const& one)
+                  {
+                      return now.steady - one.asked >= question_timeout;
+                  });
+    auto const is_recent = [&](open_question const& one)
+    {
+        return now.steady - one.asked < question_hedge;
+    };
+    if (!peers_.contains(peer) || asked(peer) ||
+        std::ranges::any_of(questions_, is_recent))
     {
         return false;
     }
-    asked = now.steady;
+    questions_.push_back({peer, now.steady});
     return true;
 }
 
-void peers::end_question(endpoint peer)
+void peers::fail_question(endpoint peer)
 {
+    end_question(peer);
     if (auto const found = peers_.find(peer); found != peers_.end())
     {
-        found->second.asked.reset();
+        found->second.revision = {};
     }
 }
 
+void peers::end_question(endpoint peer)
+{
+    std::erase_if(questions_,
+                  [&](open_question const& one)
+                  {
+                      return one.to == peer;
+                  });
+}
+
 std::optional<endpoint> peers::somebody() const
 {
     std::optional<endpoint> other;
--- a/dotterelrouter/replication/replication_test.cpp
+++ b/dotterelrouter/replication/replication_test.cpp
@@ -127,6 +127,41 @@
     CHECK(known.begin_question(vm(2), now));
 }
 
+TEST(peers, news_that_many_have_is_fetched_from_one)
+{
+    hear(2, {.revision = {11}});
+    hear(3, {.revision = {11}});
+    hear(4, {.revision = {11}});
+    CHECK(known.begin_question(vm(2), now));
+    CHECK(!known.begin_question(vm(3), now));
+    now.steady += 101ms;
+    CHECK(known.begin_question(vm(3), now));
+    CHECK(!known.begin_question(vm(4), now));
+}
+
+TEST(peers, the_one_furthest_ahead_is_asked_and_the_near_one_among_equals)
+{
+    CHECK(!known.ahead_of({11}).has_value());
+    hear(2, {.data_centre = {2}, .revision = {12}});
+    hear(3, {.data_centre = {1}, .revision = {12}});
+    hear(4, {.data_centre = {2}, .revision = {12}});
+    hear(5, {.data_centre = {1}, .revision = {11}});
+    CHECK(known.ahead_of({11}) == vm(3));
+    CHECK(!known.ahead_of({12}).has_value());
+}
+
+TEST(peers, who_did_not_answer_is_passed_over_until_it_is_heard)
+{
+    hear(2, {.revision = {12}});
+    hear(3, {.revision = {11}});
+    CHECK(known.begin_question(vm(2), now));
+    CHECK(known.ahead_of({10}) == vm(3));
+    known.fail_question(vm(2));
+    CHECK(known.ahead_of({10}) == vm(3));
+    hear(2, {.revision = {12}});
+    CHECK(known.ahead_of({10}) == vm(2));
+}
+
 // clang-format off
 TEST_GROUP(store_reader)
 {
