Take no pause of a caller for a slow response

A caller with a short response acknowledges it with its next request or its end, so that the pause before these was taken for the response's time. Ruled out: servers that were slow (at most 20 ms there). Change: only a bare acknowledgement, or the end of a flow with one request, tells how long a response took.

--- a/dotterelrouter/forwarder/forwarder_test.cpp
+++ b/dotterelrouter/forwarder/forwarder_test.cpp
@@ -429,6 +429,33 @@
     LONGS_EQUAL(3, servers.size());
 }
 
+/// Flows of the soak that are kept open were refused (seed 1): their callers
+/// acknowledge a short response with the next request only.
+TEST(forwarder, pause_between_requests_of_a_flow_is_no_pressure)
+{
+    begin({server(1, 10)});
+    auto const ask = [&](std::uint16_t port, std::uint32_t acknowledged)
+    {
+        auto request = packet(
+            flow(port), packet_type::data, token_of(id_of(1)), acknowledged);
+        request.packet.data_size = 100;
+        give(request);
+    };
+    std::size_t refused = 0;
+    for (std::uint16_t port = 1; port <= 100; ++port)
+    {
+        give(packet(flow(port), packet_type::open));
+        refused += logged(out, decision::flow_refused);
+        for (std::uint32_t request = 0; request < 4; ++request)
+        {
+            ask(port, request);
+            pass(800ms);
+        }
+        give(packet(flow(port), packet_type::close, token_of(id_of(1)), 4));
+    }
+    LONGS_EQUAL(0, refused);
+}
+
 TEST(forwarder, flow_that_never_opens_is_told_once)
 {
     begin({server(1, 10)});
--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -42,6 +42,7 @@
     duration timeout{};        ///< Of a request of its route.
     duration target{};         ///< Of a response of its route.
     std::optional<steady_time> asked; ///< A request awaits its response.
+    bool asked_again = false;         ///< It is kept open for more requests.
     std::uint32_t acknowledged = 0;   ///< By the caller when it asked.
     std::vector<std::byte> opening;   ///< Its first packet, to try again with.
 
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -160,18 +160,34 @@
     pass_by_token(packet, now, out);
 }
 
+namespace
+{
+
+/// False if the caller may have paused between the response and the packet
+/// that acknowledges it: on a flow that is kept open that may be the next
+/// request, or the end.
+bool times_response(placed_flow const& flow, caller_packet const& packet)
+{
+    return packet.data_size == 0 &&
+           (packet.type == packet_type::data || !flow.asked_again);
+}
+
+} // namespace
+
 void forwarder::follow_request(placed_flow& flow,
                                caller_packet const& packet,
                                instant now)
 {
     if (flow.asked && packet.acknowledged != flow.acknowledged)
     {
-        if (auto const* const server = directory_.find_server(flow.server))
+        auto const* const server = directory_.find_server(flow.server);
+        if (server != nullptr && times_response(flow, packet))
         {
             overload_.on_response(
                 server->record.service, now.steady - *flow.asked, flow.target);
         }
         flow.asked.reset();
+        flow.asked_again |= packet.data_size > 0;
         flows_.release(flow);
     }
     if (packet.data_size > 0)
