Lead no open flow astray by a second server's handshake

Routers move a flow while it opens, so that its first acknowledgement passes another forwarder; the first one tries a second server after 25 ms; that one's handshake reaches the caller later, who sends that server's token from then on. Forwarders that don't know the flow follow it: the flow's packets reach the wrong server until the caller gives up. Also by a forwarder that wakes from a pause and passes on first packets whose copies went elsewhere. Flows with one request hardly meet this, as their answer brings the right token back; flows kept open do, at any planned change of rotation. Change: a second try's token names the first server and the try's number. Whoever doesn't know the flow goes by the server; who placed it goes by the try, if the packet is the caller's first, and writes that server's own token from then on. Ids of servers leave two bits for it. First packets read within 100 ms of a pause of a second or more are dropped and counted.

--- a/dotterelrouter/directory/directory.cpp
+++ b/dotterelrouter/directory/directory.cpp
@@ -107,7 +107,7 @@
                             directory_changes& changes,
                             forwarder_effects& out)
 {
-    auto const id = server_id{id_from_name(record.name)};
+    auto const id = server_id_of(record.name);
     auto const found = servers_.find(id);
     if (found == servers_.end())
     {
@@ -171,7 +171,7 @@
     std::unordered_set<server_id> listed;
     for (auto const& record : update.servers)
     {
-        listed.insert(server_id{id_from_name(record.name)});
+        listed.insert(server_id_of(record.name));
     }
     for (auto& [id, known] : servers_)
     {
@@ -280,8 +280,7 @@
 
 known_server const* directory::find_server(route_token token) const
 {
-    // Only an id of 0 differs from its token.
-    return find_server(server_id{token.value});
+    return find_server(server_in(token));
 }
 
 directory_update directory::changes_after(store_revision after,
--- a/dotterelrouter/directory/directory.hpp
+++ b/dotterelrouter/directory/directory.hpp
@@ -12,6 +12,7 @@
 // Not synchronised.
 #pragma once
 
+#include "dotterelrouter/directory/internal/tokens.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
 #include <memory>
@@ -47,12 +48,6 @@
     std::vector<server_id> started{}; ///< New, or started again in place.
 };
 
-/// The token of a server.
-[[nodiscard]] constexpr route_token token_of(server_id server)
-{
-    return route_token{server.value == 0 ? 1U : server.value};
-}
-
 /// Merges updates and answers who serves what.
 class directory
 {
@@ -98,7 +93,7 @@
     [[nodiscard]] service const* find_service(service_id id) const;
     /// Constant time; gone servers are found for a while. Null if unknown.
     [[nodiscard]] known_server const* find_server(server_id id) const;
-    /// The server of a token.
+    /// The server that a token names.
     [[nodiscard]] known_server const* find_server(route_token token) const;
 
     /// What changed after a revision; linear in the number of servers.
--- a/dotterelrouter/forwarder/flows.cpp
+++ b/dotterelrouter/forwarder/flows.cpp
@@ -19,9 +19,6 @@
 /// packet; acknowledgements go elsewhere meanwhile.
 constexpr duration start_settling = std::chrono::seconds{1};
 
-/// Packets that waited while this process did not run are read by then.
-constexpr duration resume_settling = std::chrono::milliseconds{100};
-
 asked_server asked(known_server const& server)
 {
     return {server.id, server.record.data_centre, server.record.name};
@@ -46,17 +43,14 @@
     flow.load = flows_.load_of(server->id);
     flow.version = directory_.version();
     flows_.assign(flow, server->id);
-    if (flow.tries < internal::most_tries)
-    {
-        flow.tried[flow.tries++] = server->id;
-    }
+    auto const token = flow.add_try(server->id);
     flow.sent = now.steady;
     if (flow.tries <= unanswered_after.size())
     {
         flows_.wake(flow.key, now.steady + unanswered_after[flow.tries - 1]);
     }
     reachability_.on_sent(server->id, server->record.data_centre, now);
-    send(*server, flow.opening, now, out);
+    send(*server, flow.opening, token, out);
     if (flow.tries > 1)
     {
         out.push_back(add_to_counter{forwarder_counter::flows_tried_again});
@@ -75,7 +69,7 @@
 
 bool forwarder::is_evidence(placed_flow const& flow) const
 {
-    return flow.sent >= resumed_ + resume_settling;
+    return flow.sent >= resumed_ + internal::resume_settling;
 }
 
 void forwarder::note_unanswered(placed_flow const& flow,
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -72,6 +72,7 @@
     if (gap >= shortest_pause)
     {
         resumed_ = now.steady;
+        last_pause_ = gap;
         out.push_back(log_decision{.what = decision::resumed,
                                    .reason = "this process did not run",
                                    .age = gap});
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -92,6 +92,8 @@
     void pass_by_token(caller_packet const& packet,
                        instant now,
                        forwarder_effects& out);
+    /// True for packets that waited through a long pause of this process.
+    [[nodiscard]] bool waited_too_long(instant now) const;
     void hold(caller_packet const& packet, instant now);
     void release_held(instant now, forwarder_effects& out);
 
@@ -131,7 +133,7 @@
                 forwarder_effects& out);
     void send(known_server const& to,
               byte_view bytes,
-              instant now,
+              route_token token,
               forwarder_effects& out);
     void run_flows(instant now, forwarder_effects& out);
     void on_flow_due(internal::placed_flow& flow,
@@ -184,6 +186,7 @@
     std::optional<steady_time> shutdown_{};
     steady_time last_event_{};
     steady_time resumed_{}; ///< After the last pause of this process.
+    duration last_pause_{}; ///< How long that one was.
     steady_time last_packet_{};
     std::optional<steady_time> armed_{};
     bool ready_ = false;
--- a/dotterelrouter/forwarder/forwarder_test.cpp
+++ b/dotterelrouter/forwarder/forwarder_test.cpp
@@ -190,6 +190,71 @@
     CHECK(sent().token == first.token);
 }
 
+/// Seeds 5, 8 and 10 of the soak: routers moved a flow while it opened, its
+/// first forwarder tried a second server, and that one's handshake led the
+/// flow's packets away from the server that had opened it.
+TEST(forwarder, token_of_a_second_try_leads_to_the_first_server_elsewhere)
+{
+    begin({server(1, 10), server(2, 10)});
+    give(packet(flow(1), packet_type::open));
+    auto const first = sent();
+    pass(26ms);
+    auto const second = sent();
+    CHECK(second.server_number != first.server_number);
+    forwarder elsewhere{{.peers_at = other, .data_centre = "a"}};
+    std::swap(state, elsewhere);
+    begin({server(1, 10), server(2, 10)});
+    give(packet(flow(1), packet_type::data, second.token));
+    CHECK(sent().server_number == first.server_number);
+    CHECK(sent().token == first.token);
+}
+
+/// Seeds 12 and 15 of the soak: the same, and the routers moved the flow back.
+TEST(forwarder, flow_that_began_elsewhere_stays_at_the_first_server)
+{
+    begin({server(1, 10), server(2, 10)});
+    give(packet(flow(1), packet_type::open));
+    auto const first = sent();
+    pass(26ms);
+    auto second_request = packet(flow(1), packet_type::data, sent().token);
+    second_request.packet.sequence += 100;
+    give(second_request);
+    CHECK(sent().server_number == first.server_number);
+    CHECK(sent().token == first.token);
+}
+
+TEST(forwarder, flow_that_opens_at_the_second_server_gets_its_token)
+{
+    begin({server(1, 10), server(2, 10)});
+    give(packet(flow(1), packet_type::open));
+    pass(26ms);
+    auto const second = sent();
+    give(packet(flow(1), packet_type::data, second.token));
+    CHECK(sent().server_number == second.server_number);
+    auto const own =
+        token_of(id_of(static_cast<std::uint32_t>(second.server_number)));
+    CHECK(sent().token == own);
+    CHECK(second.token != own);
+    give(packet(flow(1), packet_type::data, own));
+    CHECK(sent().server_number == second.server_number);
+}
+
+TEST(forwarder, first_packets_that_waited_through_a_long_pause_go_nowhere)
+{
+    begin({server(1, 10), server(2, 10)});
+    settle();
+    now.steady += 1500ms;
+    give(packet(flow(1), packet_type::open));
+    LONGS_EQUAL(0, all<forward_packet>(out).size());
+    give(packet(flow(1), packet_type::open, {}, 1));
+    LONGS_EQUAL(0, all<forward_packet>(out).size());
+    give(packet(flow(2), packet_type::data, token_of(id_of(1))));
+    LONGS_EQUAL(1, sent().server_number);
+    pass(101ms);
+    give(packet(flow(1), packet_type::open, {}, 2));
+    LONGS_EQUAL(1, all<forward_packet>(out).size());
+}
+
 TEST(forwarder, copy_of_an_opening_packet_goes_to_another_server)
 {
     begin({server(1, 10), server(2, 10), server(3, 10), server(4, 10)});
--- a/dotterelrouter/forwarder/internal/flow_limits.hpp
+++ b/dotterelrouter/forwarder/internal/flow_limits.hpp
@@ -20,4 +20,7 @@
 /// How long a flow is remembered after the caller closed it.
 inline constexpr duration closed_memory = std::chrono::seconds{3};
 
+/// Packets that waited while this process did not run are read by then.
+inline constexpr duration resume_settling = std::chrono::milliseconds{100};
+
 } // namespace dotterelrouter::internal
--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -2,6 +2,7 @@
 // "dotterelrouter/forwarder/forwarder.hpp".
 #pragma once
 
+#include "dotterelrouter/directory/directory.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
 #include <algorithm>
@@ -18,9 +19,6 @@
 namespace dotterelrouter::internal
 {
 
-/// Most servers that are tried for one flow.
-inline constexpr std::size_t most_tries = 4;
-
 /// A flow that this forwarder placed. Only the server that the caller
 /// acknowledged knows it; packets that carry another token go there too.
 struct placed_flow
@@ -50,6 +48,26 @@
     {
         return std::span{tried}.first(tries);
     }
+
+    /// Notes that a server is tried, in place of the last one if there were
+    /// too many. Returns the token for its first packet.
+    route_token add_try(server_id next)
+    {
+        auto const index = std::min(tries, most_tries - 1);
+        tried[index] = next;
+        tries = index + 1;
+        return token_of(tried.front(), index);
+    }
+
+    /// The server of a try that a token was written for; nothing if it was
+    /// written for another flow or by another forwarder.
+    [[nodiscard]] std::optional<server_id>
+    server_of_try(route_token token) const
+    {
+        return tries > try_in(token) && server_in(token) == tried.front()
+                   ? std::optional{tried[try_in(token)]}
+                   : std::nullopt;
+    }
 };
 
 /// Placed flows by key, their timers, and how many each server has.
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -16,6 +16,10 @@
 
 /// Packets that wait for the first directory, at most.
 constexpr std::size_t most_held = 512;
+/// After a pause of this length routers may have sent a flow's copies to
+/// another forwarder: first packets that waited are not passed on, so that no
+/// second server answers an open flow.
+constexpr duration stale_pause = std::chrono::seconds{1};
 /// The caller has sent a copy by then.
 constexpr duration longest_hold = std::chrono::milliseconds{250};
 
@@ -92,6 +96,11 @@
         return;
     }
     auto* flow = flows_.find(packet.flow);
+    if (waited_too_long(now) && (flow == nullptr || !flow->opened))
+    {
+        out.push_back(add_to_counter{forwarder_counter::packets_stale});
+        return;
+    }
     if (flow == nullptr && !admits(*way, packet.flow))
     {
         refuse(packet, "service overloaded", now, out);
@@ -111,7 +120,7 @@
     {
         if (auto const* const server = directory_.find_server(flow->server))
         {
-            send(*server, packet.bytes, now, out);
+            send(*server, packet.bytes, token_of(server->id), out);
         }
         return;
     }
@@ -129,6 +138,12 @@
     }
 }
 
+bool forwarder::waited_too_long(instant now) const
+{
+    return last_pause_ >= stale_pause &&
+           now.steady - resumed_ < internal::resume_settling;
+}
+
 void forwarder::refuse(caller_packet const& packet,
                        std::string_view why,
                        instant now,
@@ -163,6 +178,16 @@
 namespace
 {
 
+/// The server that opened a flow, by the first token that comes back. A caller
+/// that has sent more than its first packet began elsewhere, as routers moved
+/// the flow meanwhile: what was tried here since then says nothing.
+server_id opened_at(placed_flow const& flow, caller_packet const& packet)
+{
+    auto const begins = packet.sequence - flow.first_sequence <= 1;
+    auto const tried = begins ? flow.server_of_try(packet.token) : std::nullopt;
+    return tried.value_or(server_in(packet.token));
+}
+
 /// False if the caller may have paused between the response and the packet
 /// that acknowledges it: on a flow that is kept open that may be the next
 /// request, or the end.
@@ -206,8 +231,9 @@
     flow.last_seen = now.steady;
     if (!flow.opened && packet.token != route_token{})
     {
-        auto const* const server = directory_.find_server(packet.token);
-        open(flow, server == nullptr ? flow.server : server->id, now, out);
+        auto const server = opened_at(flow, packet);
+        auto const known = directory_.find_server(server) != nullptr;
+        open(flow, known ? server : flow.server, now, out);
     }
     auto const* const server = directory_.find_server(flow.server);
     if (!flow.logged && flow.opened && !packet.request_id.empty())
@@ -239,7 +265,7 @@
         pass_by_token(packet, now, out);
         return;
     }
-    send(*server, packet.bytes, now, out);
+    send(*server, packet.bytes, token_of(server->id), out);
 }
 
 void forwarder::pass_by_token(caller_packet const& packet,
@@ -248,7 +274,7 @@
 {
     if (auto const* const server = directory_.find_server(packet.token))
     {
-        send(*server, packet.bytes, now, out);
+        send(*server, packet.bytes, token_of(server->id), out);
         return;
     }
     // Silent: the flow may be open at a server that is not known here yet,
@@ -269,13 +295,13 @@
 
 void forwarder::send(known_server const& to,
                      byte_view bytes,
-                     instant /*now*/,
+                     route_token token,
                      forwarder_effects& out)
 {
     out.push_back(add_to_counter{forwarder_counter::packets_forwarded});
     out.push_back(forward_packet{.to = to.record.where,
                                  .server_number = to.record.number,
-                                 .token = token_of(to.id),
+                                 .token = token,
                                  .bytes = bytes});
 }
 
--- a/dotterelrouter/forwarding/internal/effects.hpp
+++ b/dotterelrouter/forwarding/internal/effects.hpp
@@ -124,6 +124,7 @@
     packets_received,
     packets_forwarded,
     packets_malformed,
+    packets_stale, ///< First packets that waited through a long pause.
     packets_unrouted,
     flows_opened,
     flows_refused,
--- a/dotterelrouter/telemetry/forwarder_metrics.cpp
+++ b/dotterelrouter/telemetry/forwarder_metrics.cpp
@@ -24,6 +24,8 @@
         return "packets_forwarded";
     case forwarder_counter::packets_malformed:
         return "packets_malformed";
+    case forwarder_counter::packets_stale:
+        return "packets_stale";
     case forwarder_counter::packets_unrouted:
         return "packets_unrouted";
     case forwarder_counter::flows_opened:
--- a/testing/forwarding/fleet.hpp
+++ b/testing/forwarding/fleet.hpp
@@ -72,6 +72,7 @@
         /// Port and type of the packet at hand, for the model's servers.
         std::array<std::byte, 4> bytes{};
         std::uint32_t sequence = 0;
+        std::uint32_t sent = 0; ///< Packets with data.
         steady_time opened_at{};
         std::optional<std::uint32_t> server; ///< That the caller acknowledged.
         route_token token;                   ///< Last received.
--- a/testing/forwarding/fleet_callers.cpp
+++ b/testing/forwarding/fleet_callers.cpp
@@ -129,7 +129,8 @@
     packet.flow = flow.key;
     packet.type = type;
     packet.token = type == packet_type::open ? route_token{} : flow.token;
-    packet.sequence = flow.sequence;
+    flow.sent += type == packet_type::open ? 0U : 1U;
+    packet.sequence = flow.sequence + flow.sent;
     packet.acknowledged = static_cast<std::uint32_t>(flow.copies);
     packet.data_size = type == packet_type::data ? 1 : 0;
     packet.bytes = flow.bytes;
--- a/testing/forwarding/records.hpp
+++ b/testing/forwarding/records.hpp
@@ -1,6 +1,7 @@
 // Records, packets and effects for tests of the forwarding path.
 #pragma once
 
+#include "dotterelrouter/directory/directory.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
 #include <array>
@@ -34,7 +35,7 @@
 
 inline server_id id_of(std::uint32_t number)
 {
-    return server_id{id_from_name("s" + std::to_string(number))};
+    return server_id_of("s" + std::to_string(number));
 }
 
 /// Routes with one address of the catalogue.
