--- a/testing/process/forwarder_site.cpp
+++ b/testing/process/forwarder_site.cpp
@@ -39,16 +39,23 @@
 
 } // namespace
 
-forwarder_site::forwarder_site(site_settings settings)
-    : settings_(settings), network_(random_network()),
-      folder_(std::filesystem::temp_directory_path() /
-              ("process_test_" + std::to_string(network_)))
+forwarder_site::forwarder_site(site_settings settings) : settings_(settings)
 {
-    std::filesystem::create_directory(folder_);
+    // The folder keeps other sites off the network.
+    do
+    {
+        network_ = random_network();
+        folder_ = std::filesystem::temp_directory_path() /
+                  ("process_test_" + std::to_string(network_));
+    } while (!std::filesystem::create_directory(folder_));
 }
 
 forwarder_site::~forwarder_site()
 {
+    if (kept_)
+    {
+        return;
+    }
     std::error_code ignored; // Left files do no harm to later runs.
     std::filesystem::remove_all(folder_, ignored);
 }
@@ -139,6 +146,12 @@
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
+std::string forwarder_site::keep()
+{
+    kept_ = true;
+    return folder_.string();
+}
+
 std::string forwarder_site::data_centre_of(std::uint32_t number) const
 {
     return std::string(
--- a/testing/process/forwarder_site.hpp
+++ b/testing/process/forwarder_site.hpp
@@ -64,6 +64,9 @@
     /// All that a forwarder wrote so far.
     [[nodiscard]] std::string logged(std::uint32_t number) const;
 
+    /// Leaves the files for later looks; returns their folder.
+    std::string keep();
+
     /// The name of the data centre that a forwarder is in.
     [[nodiscard]] std::string data_centre_of(std::uint32_t number) const;
 
@@ -71,9 +74,10 @@
     [[nodiscard]] std::string log_of(std::uint32_t number) const;
 
     site_settings settings_;
-    std::uint32_t network_;
-    std::filesystem::path folder_;
+    std::uint32_t network_ = 0;
+    std::filesystem::path folder_{};
     std::map<std::uint32_t, endpoint> stores_{};
+    bool kept_ = false;
 };
 
 } // namespace dotterelrouter::testing
