Tidy the soak as the linter asks, and tell of the strays it saw

Cause: clang-tidy over the new files: a parameter copied, a move of a trivial type, a hidden name; two parameters were not used. Change: as said.

--- a/testing/soak/model.cpp
+++ b/testing/soak/model.cpp
@@ -74,9 +74,9 @@
     at(settle_before_load, fault_draw{});
 }
 
-void soak_model::at(duration after, action what)
+void soak_model::at(duration after, action const& what)
 {
-    actions_.emplace(now_ + after, std::move(what));
+    actions_.emplace(now_ + after, what);
 }
 
 void soak_model::on(soak_tick const& /*e*/, soak_effects& out)
@@ -142,7 +142,7 @@
     auto packet = packet_of(flow);
     packet.flags = open_flag;
     packet.acknowledged = static_cast<std::uint32_t>(flow.copies);
-    send(std::move(packet), out);
+    send(packet, out);
     auto const pauses = {first_copy, second_copy, opening_patience};
     at(*(pauses.begin() + flow.copies), caller_turn{flow.key, 0, flow.copies});
 }
@@ -155,13 +155,13 @@
     packet.data = "GET / HTTP/1.1\r\nX-Request-Id: " +
                   std::to_string(flow.key.caller.port) + "-" +
                   std::to_string(flow.request) + "\r\n\r\n";
-    send(std::move(packet), out);
+    send(packet, out);
     auto const wait = std::min<duration>(first_resend * (1 << flow.sent_again),
                                          longest_resend);
     at(wait, caller_turn{flow.key, flow.request, flow.sent_again});
 }
 
-void soak_model::send(packet_fields fields, soak_effects& out)
+void soak_model::send(packet_fields const& fields, soak_effects& out)
 {
     auto const to = routed_to({fields.from, fields.to});
     if (to)
@@ -258,7 +258,7 @@
     {
         auto packet = packet_of(flow);
         packet.flags = close_flag;
-        send(std::move(packet), out);
+        send(packet, out);
         ++report_.served;
         report_.late_served += flow.late ? 1 : 0;
         end(flow);
@@ -268,7 +268,7 @@
     {
         auto packet = packet_of(flow);
         packet.flags = data_flag;
-        send(std::move(packet), out);
+        send(packet, out);
     }
     at(between(shortest_pause, longest_pause),
        caller_turn{flow.key, flow.request, 0});
--- a/testing/soak/model.hpp
+++ b/testing/soak/model.hpp
@@ -237,12 +237,12 @@
     void due(server_start const& what, soak_effects& out);
 
     void start(soak_effects& out);
-    void at(duration after, action what);
+    void at(duration after, action const& what);
 
     // Callers.
     void send_opening(caller_flow& flow, soak_effects& out);
     void send_request(caller_flow& flow, soak_effects& out);
-    void send(packet_fields fields, soak_effects& out);
+    void send(packet_fields const& fields, soak_effects& out);
     [[nodiscard]] packet_fields packet_of(caller_flow const& flow) const;
     [[nodiscard]] std::optional<forwarder_index> routed_to(flow_key flow) const;
     void end(caller_flow& flow);
@@ -250,14 +250,11 @@
     // Servers.
     [[nodiscard]] backend* server_at(endpoint where);
     [[nodiscard]] backend* find_server(std::uint64_t number);
-    void open_at(backend& server,
-                 forwarder_index from,
-                 packet_fields const& packet,
-                 soak_effects& out);
+    void
+    open_at(backend& server, forwarder_index from, packet_fields const& packet);
     void later_at(backend& server,
                   forwarder_index from,
-                  packet_fields const& packet,
-                  soak_effects& out);
+                  packet_fields const& packet);
     void add_server(std::size_t place, std::size_t service, soak_effects& out);
     void register_server(backend const& server, soak_effects& out);
 
--- a/testing/soak/model_servers.cpp
+++ b/testing/soak/model_servers.cpp
@@ -45,7 +45,7 @@
     return found == servers_.end() || !found->alive ? nullptr : &*found;
 }
 
-void soak_model::on(server_received const& e, soak_effects& out)
+void soak_model::on(server_received const& e, soak_effects& /*out*/)
 {
     auto const seen = decode_datagram(e.bytes);
     if (!seen || !is_unchanged(seen->packet))
@@ -64,16 +64,15 @@
     }
     if (seen->packet.flags == open_flag)
     {
-        open_at(*server, e.from, seen->packet, out);
+        open_at(*server, e.from, seen->packet);
         return;
     }
-    later_at(*server, e.from, seen->packet, out);
+    later_at(*server, e.from, seen->packet);
 }
 
 void soak_model::open_at(backend& server,
                          forwarder_index from,
-                         packet_fields const& packet,
-                         soak_effects& /*out*/)
+                         packet_fields const& packet)
 {
     check_opening(server, from, packet);
     flow_key const key{packet.from, packet.to};
@@ -95,8 +94,7 @@
 
 void soak_model::later_at(backend& server,
                           forwarder_index from,
-                          packet_fields const& packet,
-                          soak_effects& /*out*/)
+                          packet_fields const& packet)
 {
     flow_key const key{packet.from, packet.to};
     auto const known = flows_.find(key);
--- a/testing/soak/model_test.cpp
+++ b/testing/soak/model_test.cpp
@@ -45,7 +45,7 @@
         }
     }
 
-    void run(duration length)
+    void pass(duration length)
     {
         for (auto const end = now.steady + length; now.steady < end;
              now.steady += step)
@@ -59,7 +59,7 @@
     {
         for (int i = 0; i < 1000; ++i)
         {
-            run(step);
+            pass(step);
             auto const found = std::ranges::find_if(
                 sent,
                 [&](packet_fields const& one)
@@ -95,7 +95,7 @@
     {
         auto const first = opening(0);
         reach(0, first, 1);
-        run(2 * step);
+        pass(2 * step);
         auto const request = std::ranges::find_if(
             sent,
             [&](packet_fields const& one)
@@ -112,7 +112,7 @@
 TEST(soak_model, flow_at_its_service_breaks_nothing)
 {
     reach(0, opened(), 1);
-    run(100ms);
+    pass(100ms);
     LONGS_EQUAL(0, violations());
 }
 
@@ -150,7 +150,7 @@
 TEST(soak_model, packets_of_an_open_flow_at_another_server_are_noticed)
 {
     give(soak_tick{});
-    run(6s); // Forwarder 0 is in touch by then.
+    pass(6s); // Forwarder 0 is in touch by then.
     sent.clear();
     auto const request = opened();
     reach(0, request, 1);
@@ -163,7 +163,7 @@
 
 TEST(soak_model, process_that_ends_by_itself_is_noticed)
 {
-    run(1s);
+    pass(1s);
     give(process_ended{0, 1});
     LONGS_EQUAL(1, violations());
 }
