Say whom a heartbeat that is sent at once reaches

Cause: the comment still said all live peers. Change: the comment. Ruled out: sending to all in a large fleet (bytes).

--- a/dotterelrouter/replication/internal/peers.hpp
+++ b/dotterelrouter/replication/internal/peers.hpp
@@ -64,7 +64,8 @@
     /// `message` is completed with whom this forwarder knows.
     void on_timer(heartbeat message, instant now, forwarder_effects& out);
 
-    /// Sends a heartbeat to all live peers now.
+    /// Sends a heartbeat now: to all peers, or in a large fleet to those whose
+    /// turn it is, who are asked by the others.
     void tell_all(heartbeat message, instant now, forwarder_effects& out);
 
     /// Sends a heartbeat to one forwarder.
