Mend the balancers' known red: planned stops, ended flows, unknown owners

It now waits for the next assignment, and an owner abandons a handover at once if the successor drains or is gone, not after 5 s. - The end of a flow carries no issue time, so that for kinds that are not idempotent it was refused as too old for the lease, always; and it was dropped while its slot was on hold. Its entry stayed, and a caller's port in use again led to a drained server. It needs no lease now and waits like a request. - A cancellation was dropped while its slot was on hold. Unknown owners in the assignments are pinged.

--- a/dotterelrouter/balancer/balancer.hpp
+++ b/dotterelrouter/balancer/balancer.hpp
@@ -178,6 +178,9 @@
     /// than max_clock_skew against the steady clock.
     void detect_clock_step(instant now, effects& out);
     void start_draining(instant now, effects& out);
+    /// Pings some of the owners that this balancer has not heard of: it cannot
+    /// forward requests to a member without its record.
+    void contact_unknown_owners(effects& out);
     /// Passes the changes that an event has made in one library on to the
     /// libraries that depend on it.
     void propagate_changes(instant now, effects& out);
--- a/dotterelrouter/balancer/internal/balancer_impl.hpp
+++ b/dotterelrouter/balancer/internal/balancer_impl.hpp
@@ -79,6 +79,7 @@
 {
     update_platform_reachability(true, out);
     ownership_.on_assignments(next_event, now, out);
+    contact_unknown_owners(out);
     propagate_changes(now, out);
 }
 
@@ -310,6 +311,27 @@
     ownership_.start_draining(now, out);
 }
 
+template <class Rules>
+void basic_balancer<Rules>::contact_unknown_owners(effects& out)
+{
+    // Bounds the burst at the start, when all owners are unknown.
+    constexpr std::size_t max_contacts = 8;
+    std::vector<member_id> contacted;
+    for (std::size_t index = 0; index < ownership_.slot_count(); ++index)
+    {
+        auto const owner =
+            ownership_.owner_of(slot_id{static_cast<std::uint16_t>(index)});
+        if (!owner || membership_.has_known(*owner) ||
+            std::ranges::count(contacted, *owner) != 0 ||
+            contacted.size() == max_contacts)
+        {
+            continue;
+        }
+        contacted.push_back(*owner);
+        membership_.contact(*owner, out);
+    }
+}
+
 template <class Rules>
 void basic_balancer<Rules>::propagate_changes(instant now, effects& out)
 {
@@ -377,8 +399,8 @@
         return;
     }
     auto const draining_time = now.steady - *draining_since_;
-    auto const slots_handed_over =
-        ownership_.is_drained() || draining_time >= settings_.handover_timeout;
+    auto const slots_handed_over = ownership_.is_drained(now) ||
+                                   draining_time >= settings_.handover_timeout;
     if ((request_path_.is_idle() && slots_handed_over) ||
         draining_time >= settings_.shutdown_timeout)
     {
--- a/dotterelrouter/balancer/internal/request_arrival_impl.hpp
+++ b/dotterelrouter/balancer/internal/request_arrival_impl.hpp
@@ -86,6 +86,14 @@
         return;
     }
     pending.cancelled = true;
+    if (pending.stage == request_stage::held)
+    {
+        // The owner of the slot may have run a copy of the request. The
+        // cancellation takes the place of the request and waits for the
+        // owner's verdict.
+        pending.packet.type = request_type::cancel;
+        return;
+    }
     if (pending.stage == request_stage::sent)
     {
         auto const* server = context.config->find_server(pending.server);
@@ -125,7 +133,7 @@
                                             service_address const& address,
                                             context_type const& context)
 {
-    auto const idempotent = context.config->kind(address.kind).idempotent;
+    auto const idempotent = is_idempotent(packet, address, context);
     auto const decision = decide_routing(packet, idempotent, context);
     switch (decision.action)
     {
@@ -145,13 +153,9 @@
                context);
         return;
     case routing_action::hold:
-        if (packet.type == request_type::request)
+        if (auto const ticket = add_pending_request(packet, address, context))
         {
-            if (auto const ticket =
-                    add_pending_request(packet, address, context))
-            {
-                hold_request(*ticket, context);
-            }
+            hold_request(*ticket, context);
         }
         return;
     case routing_action::serve:
@@ -160,6 +164,15 @@
     }
 }
 
+template <class Rules>
+bool request_path<Rules>::is_idempotent(request_packet const& packet,
+                                        service_address const& address,
+                                        context_type const& context)
+{
+    return packet.type == request_type::end_flow ||
+           context.config->kind(address.kind).idempotent;
+}
+
 template <class Rules>
 typename request_path<Rules>::routing_decision
 request_path<Rules>::decide_routing(request_packet const& packet,
@@ -233,10 +246,11 @@
     auto const slot = slot_of(packet.key.flow, context.slots.slot_count());
     if (idempotent || !Rules::require_lease)
     {
-        // A flow opened now would be missing from the handover, and the
-        // successor would not know its server.
-        auto const opens_flow = flows_.find(packet.key.flow) == nullptr;
-        return routing_decision{opens_flow && is_handing_over(slot, context)
+        // The successor would miss a flow that is opened now, and would keep
+        // one that ends now.
+        auto const changes_flows = packet.type == request_type::end_flow ||
+                                   flows_.find(packet.key.flow) == nullptr;
+        return routing_decision{changes_flows && is_handing_over(slot, context)
                                     ? routing_action::hold
                                     : routing_action::serve};
     }
@@ -293,7 +307,7 @@
     auto& pending = request_pool_[*ticket];
     pending.service = address.service;
     pending.kind = address.kind;
-    pending.idempotent = context.config->kind(address.kind).idempotent;
+    pending.idempotent = is_idempotent(packet, address, context);
     pending.slot = slot_of(packet.key.flow, context.slots.slot_count());
     pending.accepted_at = context.now.steady;
     pending.packet.deadline = std::min(
@@ -358,12 +372,26 @@
 void request_path<Rules>::serve_held_request(request_ticket ticket,
                                              context_type const& context)
 {
+    auto const packet = request_pool_[ticket].packet;
+    auto const idempotent = request_pool_[ticket].idempotent;
+    if (packet.type == request_type::end_flow)
+    {
+        request_pool_.remove(ticket);
+        end_flow(packet, context);
+        return;
+    }
     // A handover may have brought a record of this request in the meantime.
-    auto const key = request_pool_[ticket].packet.key;
-    if (auto const known_verdict = records_.find(key))
+    if (auto const known_verdict = records_.find(packet.key))
     {
         request_pool_.remove(ticket);
-        refuse(key, {known_verdict->outcome, reason::duplicate}, context);
+        refuse(
+            packet.key, {known_verdict->outcome, reason::duplicate}, context);
+        return;
+    }
+    if (packet.type == request_type::cancel)
+    {
+        request_pool_.remove(ticket);
+        cancel_unknown_request(packet, idempotent, context);
         return;
     }
     enqueue_request(ticket, false, context);
@@ -374,7 +402,7 @@
                                         service_address const& address,
                                         context_type const& context)
 {
-    auto const idempotent = context.config->kind(address.kind).idempotent;
+    auto const idempotent = is_idempotent(packet, address, context);
     if (!idempotent && !accept_non_idempotent(packet, context))
     {
         return;
@@ -385,7 +413,7 @@
         end_flow(packet, context);
         return;
     case request_type::cancel:
-        cancel_unknown_request(packet, context);
+        cancel_unknown_request(packet, idempotent, context);
         return;
     case request_type::request:
         if (auto const ticket = add_pending_request(packet, address, context))
@@ -427,9 +455,7 @@
     {
         return;
     }
-    auto const* address =
-        context.config->find_address(packet.key.flow.service_address);
-    flow_lengths_.on_flow_ended(address->kind, entry->request_count);
+    record_flow_length(*entry, context);
     if (auto const* server = context.config->find_server(entry->server))
     {
         context.out.emplace_back(send_request{server->address, packet});
@@ -441,13 +467,12 @@
 
 template <class Rules>
 void request_path<Rules>::cancel_unknown_request(request_packet const& packet,
+                                                 bool idempotent,
                                                  context_type const& context)
 {
     // The request may still arrive after its cancellation, and the record
     // ensures that it is refused then.
-    auto const* address =
-        context.config->find_address(packet.key.flow.service_address);
-    if (context.config->kind(address->kind).idempotent)
+    if (idempotent)
     {
         refuse(
             packet.key, {execution::may_have_run, reason::cancelled}, context);
--- a/dotterelrouter/balancer/internal/request_outcome_impl.hpp
+++ b/dotterelrouter/balancer/internal/request_outcome_impl.hpp
@@ -536,7 +536,7 @@
         std::erase(held_requests_, ticket);
         if (pending.idempotent)
         {
-            enqueue_request(ticket, false, context);
+            serve_held_request(ticket, context);
             return;
         }
         refuse_pending_request(
--- a/dotterelrouter/balancer/internal/request_path.hpp
+++ b/dotterelrouter/balancer/internal/request_path.hpp
@@ -165,6 +165,11 @@
     };
 
     // Arrival.
+    /// True if a packet needs no lease: a request of an idempotent kind, or the
+    /// end of a flow of any kind.
+    [[nodiscard]] static bool is_idempotent(request_packet const& packet,
+                                            service_address const& address,
+                                            context_type const& context);
     [[nodiscard]] routing_decision decide_routing(request_packet const& packet,
                                                   bool idempotent,
                                                   context_type const& context);
@@ -203,7 +208,9 @@
     [[nodiscard]] bool accept_non_idempotent(request_packet const& packet,
                                              context_type const& context);
     void end_flow(request_packet const& packet, context_type const& context);
+    /// Refuses a request whose cancellation arrived before the request itself.
     void cancel_unknown_request(request_packet const& packet,
+                                bool idempotent,
                                 context_type const& context);
     /// Adds a request to the pool. Nullopt if the pool is full; the request
     /// has been refused then.
--- a/dotterelrouter/balancer/internal/slot_handover_impl.hpp
+++ b/dotterelrouter/balancer/internal/slot_handover_impl.hpp
@@ -179,13 +179,22 @@
                                            handover_message const& message,
                                            context_type const& context)
 {
-    auto& incoming = incoming_handovers_[message.slot.slot.value];
+    auto const slot = message.slot.slot;
+    if (slot.value >= incoming_handovers_.size() ||
+        message.slot.version < context.slots.version_of(slot))
+    {
+        return false; // The sender no longer owns the slot.
+    }
+    auto& incoming = incoming_handovers_[slot.value];
     if (message.part == 0)
     {
         incoming = {.predecessor = predecessor,
                     .version = message.slot.version,
                     .next_part = 0,
                     .completed_at = {}};
+        // The handover lists all flows of the slot. Other entries are replicas
+        // of flows that have ended.
+        flows_.erase_slot(slot);
     }
     if (incoming.predecessor != predecessor ||
         incoming.version != message.slot.version ||
--- a/dotterelrouter/membership/membership.cpp
+++ b/dotterelrouter/membership/membership.cpp
@@ -194,6 +194,14 @@
     }
 }
 
+void membership::contact(member_id id, effects& out)
+{
+    if (!has_known(id))
+    {
+        send_ping(id, ++last_sequence_, out);
+    }
+}
+
 void membership::set_configuration_epoch(epoch_number epoch)
 {
     epoch_ = epoch;
--- a/dotterelrouter/membership/membership.hpp
+++ b/dotterelrouter/membership/membership.hpp
@@ -98,6 +98,10 @@
     /// incarnation. Its age counts from the request, not from the response.
     void on_vm_list(std::span<vm_record const> vms, instant now, effects& out);
 
+    /// Pings a member of which only the id is known, so that its answer
+    /// introduces it. Does nothing if the member is known.
+    void contact(member_id id, effects& out);
+
     /// Call at `next_timer_at` or later. An early call is harmless.
     void on_timer(instant now, effects& out);
 
--- a/dotterelrouter/ownership/internal/plan_impl.hpp
+++ b/dotterelrouter/ownership/internal/plan_impl.hpp
@@ -47,13 +47,28 @@
 }
 
 template <class Rules>
-bool basic_ownership<Rules>::is_drained() const
+bool basic_ownership<Rules>::is_drained(instant now) const
 {
-    auto const is_owner_or_witness = [this](slot_state const& state)
+    auto const is_needed = [this, now](slot_state const& state)
     {
-        return is_owner(state) || is_witness(state);
+        return is_owner(state) || is_witness(state) ||
+               may_become_owner(state, now.steady);
     };
-    return is_draining_ && std::ranges::none_of(slots_, is_owner_or_witness);
+    return is_draining_ && std::ranges::none_of(slots_, is_needed);
+}
+
+template <class Rules>
+bool basic_ownership<Rules>::may_become_owner(slot_state const& state,
+                                              steady_time now) const
+{
+    auto const& handover = state.incoming_handover;
+    auto const was_accepted =
+        handover.version.value != 0 &&
+        now - handover.completed_at < settings_.handover_timeout;
+    auto const& proposal = state.proposal;
+    auto const was_proposed = proposal.reason != proposal_reason::none &&
+                              is_same_member(proposal.value.owner, self_);
+    return was_accepted || was_proposed;
 }
 
 template <class Rules>
@@ -148,9 +163,7 @@
                                            effects& out)
 {
     auto& state = slots_[slot.value];
-    auto const is_overdue = now.steady - state.outgoing_handover.ordered_at >=
-                            settings_.handover_timeout;
-    if (state.outgoing_handover.is_active && !is_overdue)
+    if (is_handover_pending(state, members, now.steady))
     {
         return;
     }
@@ -176,6 +189,22 @@
     }
 }
 
+template <class Rules>
+template <class Members>
+bool basic_ownership<Rules>::is_handover_pending(slot_state const& state,
+                                                 Members const& members,
+                                                 steady_time now) const
+{
+    auto const& handover = state.outgoing_handover;
+    if (!handover.is_active ||
+        now - handover.ordered_at >= settings_.handover_timeout)
+    {
+        return false;
+    }
+    auto const* successor = members.find(handover.successor);
+    return successor != nullptr && successor->state != member_state::draining;
+}
+
 /// Proposes another witness if the current one is dead, draining or silent;
 /// if possible, before the current lease expires.
 template <class Rules>
--- a/dotterelrouter/ownership/internal/slot_state.hpp
+++ b/dotterelrouter/ownership/internal/slot_state.hpp
@@ -50,6 +50,7 @@
 struct incoming_handover_state
 {
     bool is_complete = false; ///< All records have arrived.
+    steady_time completed_at; ///< When the last record arrived.
     member_id predecessor;
     assignment_version version; ///< Under which the sender owns the slot.
     wall_time held_since;
--- a/dotterelrouter/ownership/internal/store_impl.hpp
+++ b/dotterelrouter/ownership/internal/store_impl.hpp
@@ -130,7 +130,8 @@
     {
         return;
     }
-    state->incoming_handover = {true, from, slot.version, held_since};
+    state->incoming_handover = {
+        true, now.steady, from, slot.version, held_since};
     assignment_expected_until_ = now.steady + settings_.handover_timeout / 2;
 }
 
--- a/dotterelrouter/ownership/ownership.hpp
+++ b/dotterelrouter/ownership/ownership.hpp
@@ -240,9 +240,9 @@
     /// All leases count as newly held.
     void on_clock_step(instant now);
 
-    /// True if this member drains and is neither owner nor witness of any
-    /// slot.
-    [[nodiscard]] bool is_drained() const;
+    /// True if this member drains, is neither owner nor witness of any slot,
+    /// and no handover or proposal in progress can make it an owner.
+    [[nodiscard]] bool is_drained(instant now) const;
 
     /// The owner or witness per the latest known version; none if the slot was
     /// never written, as far as is known, or is out of range.
@@ -273,6 +273,10 @@
     [[nodiscard]] bool is_same_member(member_id left, member_id right) const;
     [[nodiscard]] bool is_owner(slot_state const& state) const;
     [[nodiscard]] bool is_witness(slot_state const& state) const;
+    /// True if the next assignment may name this member as owner: it accepted a
+    /// handover, or its own proposal is pending.
+    [[nodiscard]] bool may_become_owner(slot_state const& state,
+                                        steady_time now) const;
     /// True if this member must neither use nor grant a lease of the slot
     /// until it knows a newer version.
     [[nodiscard]] bool is_suspended(slot_state const& state) const;
@@ -350,6 +354,11 @@
                        Members const& members,
                        instant now,
                        effects& out);
+    /// True if this owner's handover of the slot can still be accepted.
+    template <class Members>
+    [[nodiscard]] bool is_handover_pending(slot_state const& state,
+                                           Members const& members,
+                                           steady_time now) const;
     template <class Members>
     void plan_witness_replacement(slot_id slot,
                                   Members const& members,
--- a/dotterelrouter/ownership/ownership_test.cpp
+++ b/dotterelrouter/ownership/ownership_test.cpp
@@ -422,10 +422,10 @@
         order.successor, {slot, {4}}, local_time(now), out);
     CHECK_EQUAL(1, messages_to<lease_release_message>(second, out).size());
     CHECK_TRUE(proposals_in(out).at(0).value.owner == order.successor);
-    CHECK_FALSE(slots.is_drained());
+    CHECK_FALSE(slots.is_drained(local_time(now)));
     read_assignment(
         5, order.successor, order.successor == second ? third : second);
-    CHECK_TRUE(slots.is_drained());
+    CHECK_TRUE(slots.is_drained(local_time(now)));
 }
 
 TEST(ownership, abandoned_handover_leads_to_a_new_version)
@@ -450,6 +450,64 @@
                local_time(4s).wall);
 }
 
+TEST(ownership, handover_to_a_successor_that_drains_is_abandoned_at_once)
+{
+    own_lease();
+    auto const order = start_handover();
+    read_assignment(4, self, second);
+    auto const successor =
+        std::ranges::find(members.others, order.successor, &member_record::id);
+    successor->state = member_state::draining;
+    auto const proposals = proposals_in(advance(500ms));
+    CHECK_EQUAL(1, proposals.size());
+    CHECK_TRUE(proposals[0].value.owner == self);
+}
+
+TEST(ownership, successor_that_drains_waits_for_an_accepted_slot)
+{
+    read_assignment(4, second, third);
+    now = 10s;
+    effects out;
+    slots.start_draining(local_time(now), out);
+    CHECK_TRUE(slots.is_drained(local_time(now)));
+    slots.on_handover_received(
+        second, {slot, {4}}, local_time(1s).wall, local_time(now));
+    CHECK_FALSE(slots.is_drained(local_time(now)));
+    read_assignment(5, self, third);
+    CHECK_FALSE(slots.is_drained(local_time(now)));
+    read_assignment(6, second, third);
+    CHECK_TRUE(slots.is_drained(local_time(now)));
+}
+
+TEST(ownership, successor_that_drains_does_not_wait_for_ever)
+{
+    read_assignment(4, second, third);
+    now = 10s;
+    slots.on_handover_received(
+        second, {slot, {4}}, local_time(1s).wall, local_time(now));
+    effects out;
+    slots.start_draining(local_time(now), out);
+    now += ownership_settings{}.handover_timeout;
+    CHECK_TRUE(slots.is_drained(local_time(now)));
+}
+
+TEST(ownership, member_with_a_pending_proposal_of_itself_is_not_drained)
+{
+    members.others = {member(2)};
+    effects out;
+    slots.on_assignments({{}, true}, local_time(now), out);
+    std::size_t proposals = 0;
+    for (int i = 0; i < 16; ++i)
+    {
+        proposals += proposals_in(advance(500ms)).size();
+    }
+    CHECK_EQUAL(1, proposals);
+    slots.start_draining(local_time(now), out);
+    CHECK_FALSE(slots.is_drained(local_time(now)));
+    read_assignment(1, second, third);
+    CHECK_TRUE(slots.is_drained(local_time(now)));
+}
+
 TEST(ownership, successor_inherits_held_since)
 {
     read_assignment(4, second, third);
--- a/testing/fleet/fleet.hpp
+++ b/testing/fleet/fleet.hpp
@@ -57,6 +57,7 @@
         std::uint64_t timer_generation = 0;   ///< Only the latest timer fires.
         std::uint64_t last_read_revision = 0; ///< Store revision last read.
         bool is_running = false;
+        virtual_time stopped_at{}; ///< If it ran and no longer does.
         bool is_draining = false;
         epoch_number epoch; ///< Of the configuration in force.
     };
@@ -238,6 +239,9 @@
     // Callers.
     void issue_request();
     void submit(simulated_call const& call);
+    /// Index of the balancer to which the network fabric hands a packet. The
+    /// fabric learns late that a balancer has stopped.
+    [[nodiscard]] std::size_t choose_balancer();
     void close(simulated_call& call);
 
     // Faults and planned changes.
--- a/testing/fleet/fleet_faults_impl.hpp
+++ b/testing/fleet/fleet_faults_impl.hpp
@@ -185,6 +185,7 @@
     }
     auto const vm_number = balancers_[*index].vm_number;
     balancers_[*index].is_running = false;
+    balancers_[*index].stopped_at = now_;
     if (occurs_with(0.7))
     {
         start_balancer(vm_number); // A restart at the same address.
--- a/testing/fleet/fleet_nodes_impl.hpp
+++ b/testing/fleet/fleet_nodes_impl.hpp
@@ -217,6 +217,7 @@
 {
     auto& balancer = balancers_[index];
     balancer.is_running = false;
+    balancer.stopped_at = now_;
     std::erase_if(vm_list_,
                   [&](vm_record const& vm)
                   {
--- a/testing/fleet/fleet_work_impl.hpp
+++ b/testing/fleet/fleet_work_impl.hpp
@@ -19,6 +19,8 @@
 inline constexpr duration drain_grace_period = std::chrono::seconds{4};
 // Requests that a server accepts beyond its slots; it sheds all further ones.
 inline constexpr std::uint32_t max_queued_requests = 3;
+// Time from the end of a balancer until the network fabric chooses it no more.
+inline constexpr duration fabric_update_delay = std::chrono::seconds{3};
 // Number of parts of a response of the gallery service.
 inline constexpr std::uint16_t slow_response_parts = 8;
 
@@ -106,11 +108,7 @@
 template <class Rules>
 void fleet_simulation<Rules>::submit(simulated_call const& call)
 {
-    // The network fabric learns of changes late, so it may choose a balancer
-    // that no longer runs.
-    auto const candidate_count =
-        std::min(balancers_.size(), profile_.balancer_count + 2);
-    auto const index = balancers_.size() - 1 - random_index(candidate_count);
+    auto const index = choose_balancer();
     if (balancers_[index].is_running)
     {
         transmit(
@@ -120,6 +118,26 @@
     }
 }
 
+template <class Rules>
+std::size_t fleet_simulation<Rules>::choose_balancer()
+{
+    auto const candidate_count =
+        std::min(balancers_.size(), profile_.balancer_count + 2);
+    auto const drawn = random_index(candidate_count);
+    for (std::size_t i = 0; i < candidate_count; ++i)
+    {
+        auto const index =
+            balancers_.size() - 1 - (drawn + i) % candidate_count;
+        auto const& balancer = balancers_[index];
+        if (balancer.is_running ||
+            now_ < balancer.stopped_at + fabric_update_delay)
+        {
+            return index;
+        }
+    }
+    return balancers_.size() - 1 - drawn;
+}
+
 template <class Rules>
 void fleet_simulation<Rules>::handle(call_timer const& /*timer*/)
 {
