Keep removed servers removed when older directories arrive late

- A forwarder that has just started asks a peer and the store.
If the peer's directory was older and arrived last, servers that had left were in use again.
A record of an unknown server at or below the revision of a complete update is ignored now, and a whole directory from a peer says that it is complete.
- Heartbeats that queued up during a pause confirmed the directory as fresh by the age they gave when they were sent.

--- a/dotterelrouter/directory/directory.cpp
+++ b/dotterelrouter/directory/directory.cpp
@@ -74,6 +74,7 @@
     if (update.complete)
     {
         mark_unlisted_removed(update, now, out);
+        complete_through_ = std::max(complete_through_, update.through);
     }
     if (update.through > revision_)
     {
@@ -111,6 +112,10 @@
 {
     auto const id = server_id_from_name(record.name);
     auto const found = servers_.find(id);
+    if (found == servers_.end() && record.revision <= complete_through_)
+    {
+        return; // Removed in the meantime: the update is older.
+    }
     if (found == servers_.end())
     {
         auto& added = servers_[id];
@@ -289,7 +294,7 @@
                                           instant now) const
 {
     directory_update update{.through = revision_};
-    update.complete = after != store_revision{} && after < erased_through_;
+    update.complete = after == store_revision{} || after < erased_through_;
     if (routes_ && (routes_->revision > after || update.complete))
     {
         update.routes = routes_;
--- a/dotterelrouter/directory/directory.hpp
+++ b/dotterelrouter/directory/directory.hpp
@@ -105,9 +105,9 @@
     /// Returns the server that a token names, or null. Constant time.
     [[nodiscard]] server_entry const* find_server(route_token token) const;
 
-    /// Returns the changes after a revision. The update is complete if changes
-    /// after that revision may have been erased. Linear in the number of
-    /// servers.
+    /// Returns the changes after a revision. The update is complete if that
+    /// revision is 0, or if changes after it may have been erased. Linear in
+    /// the number of servers.
     [[nodiscard]] directory_update changes_after(store_revision after,
                                                  instant now) const;
 
@@ -128,6 +128,9 @@
     void rebuild_services();
 
     store_revision revision_{};
+    /// Highest revision of a complete update: a server that is unknown and was
+    /// last changed at or before it has been removed since.
+    store_revision complete_through_{};
     /// Highest revision of an erased server. Changes after an older revision
     /// may be incomplete.
     store_revision erased_through_{};
--- a/dotterelrouter/directory/directory_test.cpp
+++ b/dotterelrouter/directory/directory_test.cpp
@@ -156,6 +156,23 @@
     CHECK(state_of(1) == server_state::ready);
 }
 
+// A forwarder that has just started requests a directory from a peer and reads
+// the store. The peer's directory may be older and arrive later.
+TEST(directory, older_directory_does_not_bring_back_a_removed_server)
+{
+    directory peer;
+    peer.on_update(update(200, {make_server_record(1, 10)}), now, out);
+    merge(peer.changes_after({}, now));
+    merge(update(140,
+                 {make_server_record(1, 10),
+                  make_server_record(2, 90),
+                  make_server_record(3, 120, server_state::draining)}));
+    CHECK(merged.find_server(server_id_for_number(2)) == nullptr);
+    CHECK(merged.find_server(server_id_for_number(3)) == nullptr);
+    merge(update(210, {make_server_record(2, 205)}));
+    CHECK(state_of(2) == server_state::ready);
+}
+
 TEST(directory, restart_in_place_is_reported)
 {
     merge(update(10, {make_server_record(1, 10)}));
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -1,6 +1,7 @@
 // Events of the forwarder other than packets: directory updates, heartbeats,
 // timers, readiness and shutdown.
 #include "dotterelrouter/forwarder/forwarder.hpp"
+#include "dotterelrouter/forwarder/internal/flow_limits.hpp"
 
 #include <algorithm>
 #include <initializer_list>
@@ -86,6 +87,12 @@
     }
 }
 
+bool forwarder::may_have_queued(instant now) const
+{
+    return last_pause_ >= min_pause &&
+           now.steady - resumed_at_ < internal::resume_grace_period;
+}
+
 void forwarder::on(snapshot_page_read const& next_event,
                    instant now,
                    forwarder_effects& out)
@@ -135,7 +142,7 @@
     {
         request_changes_if_behind(now, out);
     }
-    else if (next_event.message.age)
+    else if (next_event.message.age && !may_have_queued(now))
     {
         freshness_.on_confirmed(*next_event.message.age + max_heartbeat_delay,
                                 now);
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -197,6 +197,9 @@
     [[nodiscard]] heartbeat make_heartbeat(instant now) const;
 
     void detect_pause(instant now, forwarder_effects& out);
+    /// Whether a message that arrives now may have been queued during a pause
+    /// of this process, so that its contents may be outdated.
+    [[nodiscard]] bool may_have_queued(instant now) const;
     void update_readiness(forwarder_effects& out);
     void advance_shutdown(instant now, forwarder_effects& out);
     void arm_timer(instant now, forwarder_effects& out);
--- a/dotterelrouter/forwarder/forwarder_test.cpp
+++ b/dotterelrouter/forwarder/forwarder_test.cpp
@@ -497,6 +497,26 @@
 /// After all VMs lost power, some forwarders suspected a data centre, although
 /// responses were missing only because routers had moved flows to other
 /// forwarders (incident inc-28a2 of emsq).
+// During a pause heartbeats queue up in the socket. What they say of the age of
+// the directory was true when they were sent.
+TEST(forwarder, heartbeats_queued_during_a_pause_confirm_no_directory)
+{
+    start({make_server_record(1, 10)});
+    run_past_startup();
+    now.steady += 5s;
+    now.wall += 5s;
+    heartbeat queued;
+    queued.incarnation = 2;
+    queued.data_centre = {id_from_name("a")};
+    queued.revision = {10};
+    queued.age = 0ms;
+    dispatch(heartbeat_received{peer_address, queued});
+    CHECK(*state.gauges(now).directory_age >= 5s);
+    advance(150ms);
+    dispatch(heartbeat_received{peer_address, queued});
+    CHECK(*state.gauges(now).directory_age < 1s);
+}
+
 TEST(forwarder, missing_responses_after_the_start_do_not_suspect_servers)
 {
     start({make_server_record(1, 10),
