Treat a server error after a write to the balancers' store as unknown

A 500, 502 or 504 does not say whether the write took effect, but was reported as not written, so that a proposal of ownership could be dropped that the store applied later. 503 stays "nothing was done", as the stand-in's protocol has it.

--- a/dotterelrouter/core/internal/events.hpp
+++ b/dotterelrouter/core/internal/events.hpp
@@ -46,8 +46,9 @@
 {
     applied,     ///< The write took effect.
     conflict,    ///< Another writer was first; nothing was written.
-    unknown,     ///< The reply was lost; the write may take effect later.
-    unavailable, ///< The service replied with an error; not written.
+    unknown,     ///< No reply, or a reply that leaves the outcome open; the
+                 ///< write may have taken effect or do so later.
+    unavailable, ///< Not sent, or rejected by the service; not written.
 };
 
 /// A compare-and-swap requested by `propose_assignment` completed.
--- a/dotterelrouter/store_client/internal/platform_calls.hpp
+++ b/dotterelrouter/store_client/internal/platform_calls.hpp
@@ -37,8 +37,9 @@
                                       store_revision expected,
                                       byte_view value,
                                       duration timeout);
-/// Outcome of a compare-and-swap call. A response whose status is neither 200
-/// nor 412 is `unavailable`.
+/// Outcome of a compare-and-swap call: `applied` for status 200, `conflict` for
+/// 412 and `unknown` for a server error other than 503, which does not say
+/// whether the write took effect. Any other status is `unavailable`.
 write_result compare_and_swap_status(http_response const& response);
 
 /// Delivers an event to a sink; must not throw.
--- a/dotterelrouter/store_client/platform_calls.cpp
+++ b/dotterelrouter/store_client/platform_calls.cpp
@@ -16,6 +16,8 @@
 constexpr int status_not_modified = 304;
 constexpr int status_not_found = 404;
 constexpr int status_precondition_failed = 412;
+constexpr int first_server_error_status = 500;
+constexpr int status_unavailable = 503;
 
 std::string key_path(std::string_view key)
 {
@@ -83,9 +85,14 @@
     {
         return write_result::applied;
     }
-    return response.status == status_precondition_failed
-               ? write_result::conflict
-               : write_result::unavailable;
+    if (response.status == status_precondition_failed)
+    {
+        return write_result::conflict;
+    }
+    // Other server errors can follow a write that took effect.
+    auto const is_outcome_open = response.status >= first_server_error_status &&
+                                 response.status != status_unavailable;
+    return is_outcome_open ? write_result::unknown : write_result::unavailable;
 }
 
 http_request compare_and_swap_request(std::string_view key,
