Give each deployment under test a network of its own

"The balancers do not come to hold all slots" came from two deployments at a time that drew the same second octet (seen in the logs of one such run: both on 127.167). A lock on a file reserves the network; the system releases it also if the test aborts.

--- a/testing/process/deployment.cpp
+++ b/testing/process/deployment.cpp
@@ -11,7 +11,6 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <stdexcept>
 
 namespace dotterelrouter::testing
@@ -44,12 +43,6 @@
     caller_octet = 5,
 };
 
-int random_second_octet()
-{
-    std::random_device source;
-    return std::uniform_int_distribution<int>{16, 250}(source);
-}
-
 std::string make_directory()
 {
     auto name = (std::filesystem::temp_directory_path() / "process_test_XXXXXX")
@@ -93,8 +86,7 @@
 
 } // namespace
 
-deployment::deployment()
-    : second_octet_(random_second_octet()), directory_(make_directory())
+deployment::deployment() : directory_(make_directory())
 {
     std::array const platform_arguments{std::string{STANDIN_PLATFORM},
                                         std::string{"--ip"},
@@ -331,16 +323,16 @@
 
 std::string deployment::ip_text(int third, int fourth) const
 {
-    return "127." + std::to_string(second_octet_) + "." +
+    return "127." + std::to_string(network_.second_octet()) + "." +
            std::to_string(third) + "." + std::to_string(fourth);
 }
 
 endpoint
 deployment::make_endpoint(int third, int fourth, std::uint16_t port) const
 {
-    auto const ip = 127U << 24U | static_cast<unsigned>(second_octet_) << 16U |
-                    static_cast<unsigned>(third) << 8U |
-                    static_cast<unsigned>(fourth);
+    auto const ip =
+        127U << 24U | static_cast<unsigned>(network_.second_octet()) << 16U |
+        static_cast<unsigned>(third) << 8U | static_cast<unsigned>(fourth);
     return {ip, port};
 }
 
--- a/testing/process/deployment.hpp
+++ b/testing/process/deployment.hpp
@@ -14,6 +14,7 @@
 
 #include "testing/process/child_process.hpp"
 #include "testing/process/ledger.hpp"
+#include "testing/process/network_reservation.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -102,7 +103,7 @@
     void start_fabric();
     void wait_for_leases() const;
 
-    int second_octet_;
+    network_reservation network_;
     std::string directory_;
     std::uint64_t epoch_ = 0;
     std::map<std::string, child_process, std::less<>> processes_;
