Count the time for which a machine was suspended

Cause: std::chrono::steady_clock stands still while a machine is suspended. A balancer that woke up saw only its wall clock step, moved the end of its leases along with it and went on under leases that its witness had taken over meanwhile; a forwarder did not notice the pause and took its directory for fresh.

Change: the steady clock of the processes is CLOCK_BOOTTIME. After any step of the wall clock against it a balancer holds no lease until one is renewed after the step; renewals are sent at once. The check that a step resets held_since renews the lease first now.

Result: ownership_test's suspended_owner_holds_no_lease_until_it_is_renewed fails on the code before, passes now. The clock itself can't be shown to matter here, as this machine was never suspended.

--- a/dotterelrouter/ownership/internal/lease_impl.hpp
+++ b/dotterelrouter/ownership/internal/lease_impl.hpp
@@ -62,7 +62,7 @@
                                         instant now,
                                         effects& out)
 {
-    if (grant.sent > now.steady)
+    if (grant.sent > now.steady || grant.sent < leases_requested_after_)
     {
         return;
     }
@@ -106,17 +106,18 @@
 template <class Rules>
 void basic_ownership<Rules>::on_clock_step(instant now)
 {
+    leases_requested_after_ = now.steady;
     for (auto& state : slots_)
     {
         state.incoming_handover.is_complete = false;
+        state.lease.is_granted = false;
         if (state.held_since)
         {
             state.held_since = now.wall;
         }
-        auto const remaining = state.lease.expires_at - now.steady;
-        if (state.lease.is_granted)
+        if (is_owner(state))
         {
-            state.lease.expires_at_wall = now.wall + remaining - max_clock_skew;
+            next_renewal_at_ = now.steady;
         }
     }
 }
--- a/dotterelrouter/ownership/ownership.hpp
+++ b/dotterelrouter/ownership/ownership.hpp
@@ -236,8 +236,9 @@
     /// Starts to drain: this member hands over all its slots.
     void start_draining(instant now, effects& out);
 
-    /// Called when the wall clock has stepped relative to the steady clock.
-    /// All leases count as newly held.
+    /// Called when the wall clock has stepped relative to the steady clock. The
+    /// steady clock may have stood still meanwhile, so all leases count as
+    /// expired until they are renewed, and then as newly held.
     void on_clock_step(instant now);
 
     /// True if this member drains, is neither owner nor witness of any slot,
@@ -401,6 +402,8 @@
     /// assignments are read as often as min_read_interval allows.
     steady_time assignment_expected_until_;
     steady_time next_renewal_at_;
+    /// Grants of renewals that were sent earlier are ignored.
+    steady_time leases_requested_after_;
     steady_time next_renewal_retry_at_;
     steady_time next_timer_at_;
     steady_time next_plan_at_;
--- a/dotterelrouter/ownership/ownership_test.cpp
+++ b/dotterelrouter/ownership/ownership_test.cpp
@@ -247,10 +247,23 @@
     own_lease();
     now = 5s;
     slots.on_clock_step(local_time(now));
+    receive_grant(second, 5s, 4);
     CHECK_TRUE(slots.lease_for(slot, local_time(now)).held_since ==
                local_time(5s).wall);
 }
 
+// A VM that is suspended sees its wall clock step forward and its steady clock
+// stand still. Meanwhile the witness may have taken the slot over.
+TEST(ownership, suspended_owner_holds_no_lease_until_it_is_renewed)
+{
+    own_lease();
+    instant const woken{local_time(4s).steady + 1ms, local_time(12s).wall};
+    slots.on_clock_step(woken);
+    CHECK_FALSE(slots.lease_for(slot, woken).is_held);
+    receive_grant(second, 4s, 4);
+    CHECK_FALSE(slots.lease_for(slot, woken).is_held);
+}
+
 TEST(ownership, forward_wall_clock_step_ends_a_lease)
 {
     own_lease();
--- a/dotterelrouter/runtime/event_loop.cpp
+++ b/dotterelrouter/runtime/event_loop.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include <csignal>
+#include <ctime>
 #include <utility>
 
 namespace dotterelrouter
@@ -48,9 +49,20 @@
 } // namespace
 } // namespace internal
 
+steady_time current_steady_time()
+{
+    timespec time{};
+    if (::clock_gettime(CLOCK_BOOTTIME, &time) != 0)
+    {
+        throw runtime_error("clock: can't read CLOCK_BOOTTIME");
+    }
+    return steady_time{std::chrono::seconds{time.tv_sec} +
+                       std::chrono::nanoseconds{time.tv_nsec}};
+}
+
 instant system_clock_source::now() const
 {
-    return {std::chrono::steady_clock::now(), std::chrono::system_clock::now()};
+    return {current_steady_time(), std::chrono::system_clock::now()};
 }
 
 event_loop::event_loop() : base_(internal::make_base())
--- a/dotterelrouter/runtime/internal/event_loop.hpp
+++ b/dotterelrouter/runtime/internal/event_loop.hpp
@@ -22,7 +22,13 @@
     using std::runtime_error::runtime_error;
 };
 
-/// Clock source that reads the steady and the wall clock of the machine.
+/// Time since the machine booted, including time for which it was suspended.
+/// std::chrono::steady_clock does not count that time, so that a lease could
+/// seem to be in force although it has expired.
+[[nodiscard]] steady_time current_steady_time();
+
+/// Clock source that reads the clocks of the machine; the steady clock is
+/// current_steady_time().
 struct system_clock_source
 {
     [[nodiscard]] instant now() const;
--- a/dotterelrouter/runtime/timer.cpp
+++ b/dotterelrouter/runtime/timer.cpp
@@ -15,7 +15,7 @@
 {
     using std::chrono::microseconds;
     using std::chrono::seconds;
-    auto const remaining = deadline - std::chrono::steady_clock::now();
+    auto const remaining = deadline - current_steady_time();
     auto const rounded = std::chrono::ceil<microseconds>(remaining);
     auto const delay = std::max(rounded, microseconds{0});
     auto const whole_seconds = std::chrono::floor<seconds>(delay);
@@ -52,7 +52,7 @@
 void raw_timer::on_event(int /*fd*/, short /*what*/, void* self)
 {
     auto& timer = *static_cast<raw_timer*>(self);
-    if (std::chrono::steady_clock::now() < timer.deadline_)
+    if (current_steady_time() < timer.deadline_)
     {
         // libevent measures the delay from the start of the loop iteration, so
         // the event can fire before the deadline.
--- a/standins/store/store.cpp
+++ b/standins/store/store.cpp
@@ -85,7 +85,7 @@
             return;
         }
         std::lock_guard const lock{mutex};
-        auto const now = std::chrono::steady_clock::now();
+        auto const now = current_steady_time();
         std::erase_if(pending_watches,
                       [&](pending_watch const& watch)
                       {
@@ -120,7 +120,7 @@
             pending_watches.push_back(
                 {request.exchange,
                  query_number(request.query, "after="),
-                 std::chrono::steady_clock::now() +
+                 current_steady_time() +
                      milliseconds{query_number(request.query, "WaitMs=")}});
         }
         else
--- a/testing/process/configuration_writer.cpp
+++ b/testing/process/configuration_writer.cpp
@@ -62,8 +62,7 @@
             client_.execute(
                 restore_manifest{result->revision, manifest_, chunks_});
         }
-        read_timer_.set_deadline(std::chrono::steady_clock::now() +
-                                 read_interval);
+        read_timer_.set_deadline(current_steady_time() + read_interval);
     }
 
     void on_timer()
