Hold requests of a slot whose owner has left until its successor is known

Cause, by trace of soak: an owner handed its slot over and exited. A balancer whose next watch on the assignments was due up to 0.5 s later still named it, could not reach it and served an idempotent request itself, so that the flow moved to another server and back.

Change: membership remembers who announced that it drains, also after its end. Requests of such an owner's slots wait, as those of an owner that is not known yet; after hold_timeout they are served as before.

Result: request_path_test's new case fails without the change.

--- a/dotterelrouter/balancer/internal/request_arrival_impl.hpp
+++ b/dotterelrouter/balancer/internal/request_arrival_impl.hpp
@@ -288,7 +288,8 @@
                                            context_type const& context) const
 {
     auto const owner = context.slots.owner_of(slot);
-    return owner && !context.members.has_known(*owner);
+    return owner && (!context.members.has_known(*owner) ||
+                     context.members.has_announced_draining(*owner));
 }
 
 template <class Rules>
--- a/dotterelrouter/balancer/internal/request_path.hpp
+++ b/dotterelrouter/balancer/internal/request_path.hpp
@@ -186,7 +186,8 @@
     [[nodiscard]] bool is_awaiting_ownership(slot_id slot, instant now) const;
     [[nodiscard]] bool is_newly_started(instant now) const;
     /// True if the owner of the slot is a member that this balancer has not
-    /// heard from. That member knows the flows of the slot, and serving a
+    /// heard from, or one that drains, whose successor is to be read from the
+    /// assignments. The owner knows the flows of the slot, and serving a
     /// request here could move its flow to another server.
     [[nodiscard]] bool is_owner_unknown(slot_id slot,
                                         context_type const& context) const;
--- a/dotterelrouter/balancer/internal/request_path_test.cpp
+++ b/dotterelrouter/balancer/internal/request_path_test.cpp
@@ -19,6 +19,7 @@
 
 constexpr slot_id slot{0};
 constexpr endpoint fitting_address{0x0d000001, 1};
+constexpr endpoint lookup_address{0x0d000001, 2};
 constexpr endpoint server_address{0x0c000001, 80};
 constexpr flow_key flow{{0x0b000001, 4000}, fitting_address};
 constexpr duration timer_step = 50ms;
@@ -29,12 +30,15 @@
     builder.epoch(epoch_number{1});
     builder.kind(
         {.id = {}, .name = "fitting", .urgency = 0, .idempotent = false});
+    builder.kind(
+        {.id = {}, .name = "lookup", .urgency = 1, .idempotent = true});
     builder.server({.name = "first",
                     .service = "catalogue",
                     .address = server_address,
                     .data_centre = "north",
                     .slots = 3});
     builder.address({fitting_address, "catalogue", "fitting"});
+    builder.address({lookup_address, "catalogue", "lookup"});
     return builder.build();
 }
 
@@ -97,6 +101,10 @@
     /// The effects of the peer's answer to a message.
     effects answer(send_peer_message const& sent)
     {
+        if (sent.destination != peer.id)
+        {
+            return {};
+        }
         if (auto const* ping = std::get_if<ping_message>(&sent.message))
         {
             return reduce(peer_message_received{
@@ -238,6 +246,38 @@
     CHECK_EQUAL(1, std::ranges::count_if(sent, is_ping_to_newcomer));
 }
 
+// The owner has handed its slot over and exited, and this balancer has not read
+// the new assignment yet.
+TEST(request_path,
+     request_of_a_slot_whose_owner_has_left_waits_for_its_successor)
+{
+    start_handover();
+    finish_handover();
+    member_record const successor{
+        .id = {{3, 7000}, 1}, .data = {3, 7001}, .data_centre = {}};
+    auto leaving = peer;
+    leaving.state = member_state::draining;
+    leaving.sequence = 1;
+    reduce(peer_message_received{
+        peer.id,
+        ping_message{
+            .sequence = 2, .epoch = {}, .gossip = {leaving}, .opinions = {}}});
+    leaving.state = member_state::dead;
+    reduce(peer_message_received{successor.id,
+                                 ping_message{.sequence = 3,
+                                              .epoch = {},
+                                              .gossip = {successor, leaving},
+                                              .opinions = {}}});
+    auto packet = make_packet(request_type::request);
+    packet.key.flow.service_address = lookup_address;
+    auto const out = reduce(request_received{packet});
+    CHECK_TRUE(effects_of_type<send_request>(out).empty());
+    current = {{6}, successor.id, self.id, 6};
+    auto const forwarded = effects_of_type<forward_request>(read_assignment());
+    CHECK_EQUAL(1U, forwarded.size());
+    CHECK_TRUE(forwarded[0].destination == successor.data);
+}
+
 TEST(request_path, cancellation_without_a_lease_waits_for_the_lease)
 {
     peer_grants_leases = false;
--- a/dotterelrouter/membership/membership.cpp
+++ b/dotterelrouter/membership/membership.cpp
@@ -253,6 +253,17 @@
            found->second.record.id.incarnation >= id.incarnation;
 }
 
+bool membership::has_announced_draining(member_id id) const
+{
+    if (find(id) != nullptr && id != self_.id)
+    {
+        return local_states_[index_of(id.control)].announced_draining;
+    }
+    auto const found = tombstones_.find(id.control);
+    return found != tombstones_.end() && found->second.record.id == id &&
+           found->second.announced_draining;
+}
+
 bool membership::is_confirmed_gone(member_id id, steady_time known_since) const
 {
     if (id.control == self_.id.control)
@@ -440,7 +451,7 @@
                           out);
     removed.state = member_state::dead;
     tombstones_[removed.id.control] = {
-        removed, now.steady, last_heard, max_transmissions()};
+        removed, now.steady, last_heard, max_transmissions(), was_draining};
     index_by_control_.erase(removed.id.control);
     if (index + 1 != records_.size())
     {
--- a/dotterelrouter/membership/membership.hpp
+++ b/dotterelrouter/membership/membership.hpp
@@ -142,6 +142,11 @@
     /// known only because other messages name it.
     [[nodiscard]] bool has_known(member_id id) const;
 
+    /// Whether the member has announced that it drains, so that its slots have
+    /// been handed over or soon will be. Remembered for `tombstone_ttl` after
+    /// its end.
+    [[nodiscard]] bool has_announced_draining(member_id id) const;
+
     /// Whether it is safe to assume that this incarnation no longer runs:
     /// either a newer incarnation is live and not suspected at its control
     /// endpoint, or for longer than the VM list can lag, the list has not
@@ -181,6 +186,7 @@
         steady_time died_at;
         steady_time last_heard;
         std::uint32_t remaining_transmissions = 0;
+        bool announced_draining = false; ///< Before its end.
     };
 
     struct listed_vm
