--- a/review/2/case.py
+++ b/review/2/case.py
@@ -67,8 +67,7 @@
                   for e in deployment.foreign_resets if e["via_in_touch"]]
         broken += [f"FLOW (b): {e['t']} s: flow {e['flow']}, open at "
                    f"{e['open_at']}: {e['packets']} packets at other servers"
-                   for e, vias in deployment.lost_flows
-                   if all(deployment.was_in_touch(v) for v in vias)]
+                   for e in deployment.lost_flows if e["via_in_touch"]]
         return deployment, broken
 
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -756,11 +756,12 @@
         owner = attempt and self.open_flows.get((key, attempt.isn))
         if not owner or owner is server or key not in owner.flows:
             return
+        in_touch = self.was_in_touch(via)
         self.note("packet_at_other_server", flow=self.name(key),
                   server=server.identifier, open_at=owner.identifier,
-                  via=self.machine(via))
+                  via=self.machine(via), via_in_touch=in_touch)
         seen = self.foreign_packets.setdefault(key, [])
-        seen.append((time.monotonic(), via))
+        seen.append(in_touch)
         if len(seen) == 1:
             self.loop.call_later(self.bounds["FlowMs"] / 1000,
                                  self.check_flow, key, seen, owner)
@@ -770,8 +771,8 @@
         if self.foreign_packets.get(key) is seen and len(seen) >= 3 \
                 and key in owner.flows:
             self.note("flow_lost", flow=self.name(key), packets=len(seen),
-                      open_at=owner.identifier)
-            self.lost_flows.append((self.events[-1], [via for _, via in seen]))
+                      open_at=owner.identifier, via_in_touch=all(seen))
+            self.lost_flows.append(self.events[-1])
 
     def machine(self, ip):
         return next((f.name for f in self.forwarders if f.ip == ip), ip)
