--- a/review/2/case.py
+++ b/review/2/case.py
@@ -69,4 +69,4 @@
         return deployment, broken
 
 
-sys.exit(run_case(FOLDER, case))
+run_case(FOLDER, case)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -17,6 +17,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -27,9 +28,11 @@
 
 SYN, ACK, FIN, RST = 4, 8, 64, 128
 HEADER = struct.Struct(">IIHBHHIIII")
-DATAGRAM_PORT, READINESS_PORT, CONTROL_PORT = 8172, 8167, 8166
-SERVER_PORT, STORE_PORT = 8080, 8169
-INTERNAL_PORTS = [7720, 7735]
+# The same on all machines of a run, and drawn anew for each run.
+FIRST_PORT = random.randrange(10000, 30000, 50)
+DATAGRAM_PORT, READINESS_PORT, CONTROL_PORT = range(FIRST_PORT, FIRST_PORT + 3)
+SERVER_PORT, STORE_PORT = FIRST_PORT + 3, FIRST_PORT + 4
+INTERNAL_PORTS = [FIRST_PORT + 10, FIRST_PORT + 25]
 MAX_DATA = 1200
 # One way between a client and the machines of the system, as on the sites.
 CLIENT_DELAY = 0.003
@@ -39,6 +42,8 @@
 SERVER_RETRANSMISSIONS = 8
 # A system's reset is accepted on an open flow within this many sequence numbers.
 RESET_WINDOW = 76800
+# A case that is not over by then ends with exit code 2, in seconds.
+TIME_LIMIT = 115
 
 
 class CannotRun(Exception):
@@ -641,7 +646,10 @@
 class Deployment:
     """A small deployment on a random /16 of 127.0.0.0/8."""
 
+    running = []
+
     def __init__(self, zones):
+        self.running.append(self)
         self.loop = asyncio.get_running_loop()
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.network = f"127.{random.randrange(16, 250)}"
@@ -681,16 +689,18 @@
     async def __aexit__(self, *_):
         for task in self.tasks:
             task.cancel()
-        for forwarder in self.forwarders:
-            if forwarder.process and forwarder.process.poll() is None:
-                forwarder.process.kill()
-            if forwarder.process:
-                forwarder.process.wait()
+        self.kill_forwarders()
         if os.environ.get("KEEP_LOGS"):
             print("logs in", self.folder)
         else:
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def kill_forwarders(self):
+        for forwarder in self.forwarders:
+            if forwarder.process and forwarder.process.poll() is None:
+                forwarder.process.kill()
+                forwarder.process.wait()
+
     def note(self, event, **fields):
         self.events.append({"t": round(time.monotonic() - self.started, 4),
                             "event": event, **fields})
@@ -823,16 +833,24 @@
                 record.write(json.dumps(event) + "\n")
 
 
-def run_case(folder, case):
-    """Runs `case(deployment_events, trouble)`; returns the exit code.
+def end_process(code):
+    """Ends at once, with all forwarders; nothing is left to wait for."""
+    for deployment in Deployment.running:
+        deployment.kill_forwarders()
+        if not os.environ.get("KEEP_LOGS"):
+            shutil.rmtree(deployment.folder, ignore_errors=True)
+    sys.stdout.flush()
+    os._exit(code)
 
-    The case returns the Deployment and a list of broken rules as text.
-    """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+
+async def run_to_end(folder, case):
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, end_process, 2)
+    loop.call_later(TIME_LIMIT, end_process, 2)
     try:
-        deployment, broken = asyncio.run(
-            asyncio.wait_for(case(trouble), timeout=115))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        deployment, broken = await case(os.environ.get("TROUBLE", "1") != "0")
+    except (CannotRun, OSError) as error:
         print("could not run:", error or type(error).__name__)
         return 2
     for line in broken:
@@ -846,3 +864,18 @@
         print("BROKEN:", line)
     print(f"{len(broken)} breaks" if broken else "the rule held")
     return 1 if broken else 0
+
+
+def run_case(folder, case):
+    """Runs `case(trouble)` and ends this process with the exit code.
+
+    The case returns the Deployment and a list of broken rules as text.
+    """
+    async def run():
+        code = 2
+        try:
+            code = await run_to_end(folder, case)
+        except Exception as error:  # A fault of the case, not of the product.
+            print("could not run:", repr(error))
+        end_process(code)
+    asyncio.run(run())
