--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,6 +14,7 @@
 LOSS = 0.002
 DEADLINE = 4.0
 FLOWS_PER_S = 120
+ROUNDS = 2  # Each forwarder is restarted once a round.
 
 
 async def keep_open(attempt):
@@ -47,9 +48,9 @@
                 await asyncio.sleep(1 / FLOWS_PER_S)
         clients.append(asyncio.create_task(load()))
         await asyncio.sleep(8)
-        for forwarder in deployment.forwarders:
+        for forwarder in deployment.forwarders * ROUNDS:
             if not trouble:
-                await asyncio.sleep(9)
+                await asyncio.sleep(5)
                 continue
             forwarder.stop()
             await forwarder.wait_for_exit(6)
@@ -57,7 +58,7 @@
             forwarder.start()
             await deployment.until(lambda f=forwarder: f.in_rotation, 5,
                                    f"{forwarder.name} in rotation")
-            await asyncio.sleep(5)
+            await asyncio.sleep(2)
         stop.set()
         await asyncio.sleep(5)
         broken = [f"FLOW (a): {e['t']} s: flow {e['flow']}, open at "
