--- /dev/null
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -0,0 +1,390 @@
+#include "dotterelrouter/bindings/internal/binding_table.hpp"
+
+#include "dotterelrouter/bindings/internal/keepers.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterelrouter
+{
+namespace
+{
+
+/// Delay after which a binding is sent again to a keeper that has not
+/// responded. It doubles up to the maximum.
+constexpr duration min_resend_delay = std::chrono::milliseconds{25};
+constexpr duration max_resend_delay = std::chrono::milliseconds{800};
+/// Maximum number of bindings in a message, so that it fits into a datagram.
+constexpr std::size_t max_bindings_per_message = 24;
+/// Bytes that a flow transfers at most in its lifetime, in either direction.
+constexpr std::uint32_t max_flow_bytes = 1U << 24U;
+
+/// Whether a packet belongs to the flow that was bound. A first packet has no
+/// acknowledgement number.
+bool belongs_to(caller_packet const& packet, flow_binding const& binding)
+{
+    return is_same_stream(packet.sequence, binding.sequence) &&
+           (packet.type == packet_type::open ||
+            is_same_stream(packet.acknowledgement, binding.acknowledgement));
+}
+
+bool is_same_flow(flow_binding const& first, flow_binding const& second)
+{
+    return is_same_stream(first.sequence, second.sequence) &&
+           is_same_stream(first.acknowledgement, second.acknowledgement);
+}
+
+/// Adds a binding to the messages, with its age at this time.
+flow_binding with_age(flow_binding binding, steady_time bound_at, instant now)
+{
+    binding.age = std::max(duration::zero(), duration{now.steady - bound_at});
+    return binding;
+}
+
+} // namespace
+
+bool is_same_stream(std::uint32_t first, std::uint32_t second)
+{
+    auto const difference = first - second;
+    return difference < max_flow_bytes || 0U - difference < max_flow_bytes;
+}
+
+void binding_table::set_forwarders(std::vector<live_forwarder> forwarders,
+                                   instant now)
+{
+    if (forwarders == forwarders_)
+    {
+        return;
+    }
+    forwarders_ = std::move(forwarders);
+    unconfirmed_.clear();
+    for (auto& [flow, bound] : entries_)
+    {
+        bound.awaits_keepers = true;
+        bound.next_send_at = now.steady;
+        bound.resend_delay = min_resend_delay;
+        unconfirmed_.push_back(flow);
+    }
+    next_send_at_ =
+        unconfirmed_.empty() ? std::nullopt : std::optional{now.steady};
+}
+
+std::optional<server_id> binding_table::find(caller_packet const& packet) const
+{
+    auto const found = entries_.find(packet.flow);
+    if (found == entries_.end() || !belongs_to(packet, found->second.binding))
+    {
+        return std::nullopt;
+    }
+    return found->second.binding.server;
+}
+
+void binding_table::bind(caller_packet const& packet,
+                         server_id server,
+                         binding_basis basis,
+                         instant now,
+                         forwarder_effects& out)
+{
+    if (find(packet))
+    {
+        return;
+    }
+    auto& bound = insert({.flow = packet.flow,
+                          .sequence = packet.sequence,
+                          .acknowledgement = packet.acknowledgement,
+                          .server = server},
+                         now.steady,
+                         now,
+                         out);
+    bound.is_settled = basis == binding_basis::seen_open;
+    bound.awaits_keepers = true;
+    bound.resend_delay = min_resend_delay;
+    outgoing messages;
+    send_to_keepers(bound, now, messages);
+    if (bound.awaits_keepers)
+    {
+        unconfirmed_.push_back(packet.flow);
+    }
+    for (auto& [destination, bindings] : messages)
+    {
+        out.push_back(send_bindings{destination, {std::move(bindings)}});
+    }
+}
+
+bool binding_table::is_awaiting_keepers(flow_key flow) const
+{
+    auto const found = entries_.find(flow);
+    return found != entries_.end() && found->second.awaits_keepers;
+}
+
+bool binding_table::is_settled(flow_key flow) const
+{
+    auto const found = entries_.find(flow);
+    return found == entries_.end() || found->second.is_settled;
+}
+
+bool binding_table::is_unconfirmed(flow_key flow, instant now) const
+{
+    auto const found = entries_.find(flow);
+    if (found == entries_.end())
+    {
+        return false;
+    }
+    auto const& bound = found->second;
+    return bound.awaits_keepers && !bound.is_settled &&
+           now.steady - bound.bound_at < max_lookup_time;
+}
+
+std::vector<flow_key> binding_table::on_message(endpoint from,
+                                                binding_message const& message,
+                                                instant now,
+                                                forwarder_effects& out)
+{
+    std::vector<flow_key> replaced;
+    binding_message response{.is_response = true};
+    for (auto const& received : message.bindings)
+    {
+        auto const found = entries_.find(received.flow);
+        if (found != entries_.end() &&
+            replace_if_later(found->second, received, now))
+        {
+            replaced.push_back(received.flow);
+            out.push_back(log_decision{
+                .type = decision::flow_rebound,
+                .flow = received.flow,
+                .reason = "another forwarder bound the flow before",
+                .age = received.age});
+        }
+        if (message.is_response)
+        {
+            on_response(received, from);
+            continue;
+        }
+        response.bindings.push_back(merge(received, from, now, out));
+    }
+    if (!message.is_response)
+    {
+        out.push_back(send_bindings{from, std::move(response)});
+    }
+    return replaced;
+}
+
+void binding_table::on_timer(instant now, forwarder_effects& out)
+{
+    while (remove_oldest(now.steady))
+    {
+    }
+    if (!next_send_at_ || now.steady < *next_send_at_)
+    {
+        return;
+    }
+    next_send_at_.reset();
+    outgoing messages;
+    std::erase_if(unconfirmed_,
+                  [&](flow_key flow)
+                  {
+                      auto const found = entries_.find(flow);
+                      if (found == entries_.end())
+                      {
+                          return true;
+                      }
+                      send_to_keepers(found->second, now, messages);
+                      return !found->second.awaits_keepers;
+                  });
+    for (auto& [destination, bindings] : messages)
+    {
+        for (std::size_t first = 0; first < bindings.size();
+             first += max_bindings_per_message)
+        {
+            auto const count =
+                std::min(max_bindings_per_message, bindings.size() - first);
+            auto const part = std::span{bindings}.subspan(first, count);
+            out.push_back(
+                send_bindings{destination, {{part.begin(), part.end()}}});
+        }
+    }
+}
+
+std::optional<steady_time> binding_table::next_timer_at() const
+{
+    if (lifetime_ends_.empty())
+    {
+        return next_send_at_;
+    }
+    auto const end = lifetime_ends_.front().at;
+    return next_send_at_ ? std::min(*next_send_at_, end) : end;
+}
+
+binding_table::entry& binding_table::insert(flow_binding const& binding,
+                                            steady_time bound_at,
+                                            instant now,
+                                            forwarder_effects& out)
+{
+    if (!entries_.contains(binding.flow) &&
+        entries_.size() >= settings_.max_size &&
+        remove_oldest(steady_time::max()))
+    {
+        out.push_back(
+            increment_forwarder_counter{forwarder_counter::bindings_evicted});
+    }
+    lifetime_ends_.push_back(
+        {now.steady + settings_.flow_lifetime, binding.flow, ++insertions_});
+    auto& bound = entries_[binding.flow];
+    bound = {};
+    bound.binding = binding;
+    bound.bound_at = bound_at;
+    bound.insertion = insertions_;
+    return bound;
+}
+
+flow_binding binding_table::merge(flow_binding const& received,
+                                  endpoint from,
+                                  instant now,
+                                  forwarder_effects& out)
+{
+    auto const bound_at = now.steady - received.age;
+    auto const found = entries_.find(received.flow);
+    auto const is_held = found != entries_.end() &&
+                         (is_same_flow(found->second.binding, received) ||
+                          found->second.bound_at > bound_at);
+    if (is_held)
+    {
+        auto& bound = found->second;
+        mark_informed(bound, from);
+        return with_age(bound.binding, bound.bound_at, now);
+    }
+    auto& bound = insert(received, bound_at, now, out);
+    // The sender informs the other keepers. This forwarder does so only once
+    // there are others than now.
+    bound.informed = keeper_runs(received.flow);
+    bound.is_settled = true;
+    mark_informed(bound, from);
+    return received;
+}
+
+void binding_table::on_response(flow_binding const& held, endpoint from)
+{
+    auto const found = entries_.find(held.flow);
+    if (found == entries_.end())
+    {
+        return;
+    }
+    auto& bound = found->second;
+    mark_informed(bound, from);
+    bound.is_settled = true;
+    auto const lacks_binding = [&](peer_run const& keeper)
+    {
+        return std::ranges::count(bound.informed, keeper) == 0;
+    };
+    bound.awaits_keepers =
+        std::ranges::any_of(keeper_runs(held.flow), lacks_binding);
+}
+
+bool binding_table::replace_if_later(entry& bound,
+                                     flow_binding const& other,
+                                     instant now)
+{
+    auto const bound_at = now.steady - other.age;
+    if (!is_same_flow(bound.binding, other) ||
+        bound.binding.server == other.server || bound.bound_at <= bound_at)
+    {
+        return false;
+    }
+    bound.binding = other;
+    bound.bound_at = bound_at;
+    // Keepers may hold the later binding.
+    bound.informed.clear();
+    bound.awaits_keepers = true;
+    bound.is_settled = true;
+    bound.next_send_at = now.steady;
+    bound.resend_delay = min_resend_delay;
+    unconfirmed_.push_back(other.flow);
+    next_send_at_ = now.steady;
+    return true;
+}
+
+void binding_table::mark_informed(entry& bound, endpoint address)
+{
+    auto const incarnation = incarnation_of(address);
+    if (!incarnation)
+    {
+        return;
+    }
+    peer_run const run{address, *incarnation};
+    if (std::ranges::count(bound.informed, run) == 0)
+    {
+        bound.informed.push_back(run);
+    }
+}
+
+void binding_table::send_to_keepers(entry& bound,
+                                    instant now,
+                                    outgoing& messages)
+{
+    bound.awaits_keepers = false;
+    auto const is_due = now.steady >= bound.next_send_at;
+    for (auto const& keeper : keeper_runs(bound.binding.flow))
+    {
+        if (std::ranges::count(bound.informed, keeper) != 0)
+        {
+            continue;
+        }
+        bound.awaits_keepers = true;
+        if (is_due)
+        {
+            messages[keeper.address].push_back(
+                with_age(bound.binding, bound.bound_at, now));
+        }
+    }
+    if (!bound.awaits_keepers)
+    {
+        return;
+    }
+    if (is_due)
+    {
+        bound.next_send_at = now.steady + bound.resend_delay;
+        bound.resend_delay = std::min(2 * bound.resend_delay, max_resend_delay);
+    }
+    next_send_at_ = next_send_at_ ? std::min(*next_send_at_, bound.next_send_at)
+                                  : bound.next_send_at;
+}
+
+std::vector<binding_table::peer_run>
+binding_table::keeper_runs(flow_key flow) const
+{
+    std::vector<peer_run> runs;
+    for (auto const& keeper :
+         keepers_of(flow, forwarders_, settings_.data_centre))
+    {
+        runs.push_back({keeper.heartbeat_endpoint, keeper.incarnation});
+    }
+    return runs;
+}
+
+std::optional<std::uint64_t>
+binding_table::incarnation_of(endpoint address) const
+{
+    auto const found = std::ranges::find(
+        forwarders_, address, &live_forwarder::heartbeat_endpoint);
+    return found == forwarders_.end() ? std::nullopt
+                                      : std::optional{found->incarnation};
+}
+
+bool binding_table::remove_oldest(steady_time due)
+{
+    while (!lifetime_ends_.empty() && lifetime_ends_.front().at <= due)
+    {
+        auto const oldest = lifetime_ends_.front();
+        lifetime_ends_.pop_front();
+        auto const found = entries_.find(oldest.flow);
+        if (found != entries_.end() &&
+            found->second.insertion == oldest.insertion)
+        {
+            entries_.erase(found);
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace dotterelrouter
--- /dev/null
+++ b/dotterelrouter/bindings/binding_table_test.cpp
@@ -0,0 +1,302 @@
+#include "dotterelrouter/bindings/bindings.hpp"
+#include "testing/forwarding/records.hpp"
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace dotterelrouter
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using testing::count_logged;
+using testing::effects_of_type;
+using testing::make_flow_key;
+using testing::make_packet_arrived;
+
+constexpr data_centre_id data_centre{1};
+constexpr server_id first_server{4};
+constexpr server_id second_server{8};
+
+live_forwarder make_forwarder(std::uint32_t number,
+                              std::uint64_t incarnation = 1)
+{
+    return {.heartbeat_endpoint = {0x0a000000 + number, 7720},
+            .incarnation = incarnation,
+            .data_centre = data_centre};
+}
+
+caller_packet make_packet(std::uint16_t port,
+                          std::uint32_t sequence = 1000,
+                          std::uint32_t acknowledgement = 5000)
+{
+    auto packet =
+        make_packet_arrived(
+            make_flow_key(port), packet_type::data, {}, acknowledgement)
+            .packet;
+    packet.sequence = sequence;
+    return packet;
+}
+
+flow_binding make_binding(std::uint16_t port, server_id server, duration age)
+{
+    return {.flow = make_flow_key(port),
+            .sequence = 1000,
+            .acknowledgement = 5000,
+            .server = server,
+            .age = age};
+}
+
+// clang-format off
+TEST_GROUP(binding_table)
+{
+    instant now{steady_time{1h}, wall_time{1h}};
+    forwarder_effects out;
+    binding_table bindings{{.data_centre = data_centre, .max_size = 100}};
+
+    void advance(duration time)
+    {
+        now.steady += time;
+        now.wall += time;
+        out.clear();
+        bindings.on_timer(now, out);
+    }
+
+    /// Returns how many bindings were sent to each forwarder, responses aside.
+    std::map<endpoint, std::size_t> sent_counts() const
+    {
+        std::map<endpoint, std::size_t> counts;
+        for (auto const& sent : effects_of_type<send_bindings>(out))
+        {
+            counts[sent.destination] +=
+                sent.message.is_response ? 0 : sent.message.bindings.size();
+        }
+        return counts;
+    }
+
+    /// Delivers the response of a forwarder that holds this binding.
+    void respond(live_forwarder const& from, flow_binding const& held)
+    {
+        bindings.on_message(
+            from.heartbeat_endpoint, {.bindings = {held}, .is_response = true}, now, out);
+    }
+};
+
+// clang-format on
+
+TEST(binding_table, sends_a_binding_to_its_keepers_until_they_respond)
+{
+    bindings.set_forwarders({make_forwarder(1), make_forwarder(2)}, now);
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    CHECK_EQUAL(2U, sent_counts().size());
+    CHECK(bindings.is_awaiting_keepers(make_flow_key(1)));
+    CHECK(!bindings.is_settled(make_flow_key(1)));
+    respond(make_forwarder(1), make_binding(1, first_server, 1ms));
+    CHECK(bindings.is_settled(make_flow_key(1)));
+    CHECK(bindings.is_awaiting_keepers(make_flow_key(1)));
+    advance(30ms);
+    CHECK_EQUAL(1U, sent_counts().size());
+    CHECK_EQUAL(1U, sent_counts().count(make_forwarder(2).heartbeat_endpoint));
+    respond(make_forwarder(2), make_binding(1, first_server, 1ms));
+    CHECK(!bindings.is_awaiting_keepers(make_flow_key(1)));
+    advance(10s);
+    CHECK(effects_of_type<send_bindings>(out).empty());
+}
+
+TEST(binding_table, flow_that_was_seen_open_is_settled_at_once)
+{
+    bindings.set_forwarders({make_forwarder(1)}, now);
+    bindings.bind(
+        make_packet(1), first_server, binding_basis::seen_open, now, out);
+    CHECK(bindings.is_settled(make_flow_key(1)));
+    CHECK(bindings.is_awaiting_keepers(make_flow_key(1)));
+}
+
+TEST(binding_table, first_binding_wins_at_the_forwarder_that_holds_it)
+{
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    bindings.bind(
+        make_packet(1), second_server, binding_basis::token, now, out);
+    CHECK(bindings.find(make_packet(1)) == first_server);
+    advance(100ms);
+    bindings.on_message(
+        {1, 1}, {{make_binding(1, second_server, 5ms)}}, now, out);
+    CHECK(bindings.find(make_packet(1)) == first_server);
+    auto const responses = effects_of_type<send_bindings>(out);
+    CHECK_EQUAL(1U, responses.size());
+    CHECK(responses.front().message.is_response);
+    CHECK(responses.front().message.bindings.front().server == first_server);
+    CHECK(responses.front().message.bindings.front().age == 100ms);
+}
+
+TEST(binding_table, earlier_binding_of_another_forwarder_replaces_a_later_one)
+{
+    bindings.set_forwarders({make_forwarder(1), make_forwarder(2)}, now);
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    out.clear();
+    auto const replaced = bindings.on_message(
+        make_forwarder(1).heartbeat_endpoint,
+        {.bindings = {make_binding(1, second_server, 3s)}, .is_response = true},
+        now,
+        out);
+    CHECK_EQUAL(1U, replaced.size());
+    CHECK(bindings.find(make_packet(1)) == second_server);
+    CHECK_EQUAL(1U, count_logged(out, decision::flow_rebound));
+    // The other keeper was sent the later binding.
+    advance(1ms);
+    CHECK_EQUAL(1U, sent_counts().count(make_forwarder(2).heartbeat_endpoint));
+    CHECK(effects_of_type<send_bindings>(out)
+              .front()
+              .message.bindings.front()
+              .server == second_server);
+}
+
+TEST(binding_table, later_flow_of_the_same_port_is_not_bound)
+{
+    constexpr std::uint32_t distance = 1U << 30U;
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    CHECK(!bindings.find(make_packet(1, 1000 + distance, 5000)));
+    CHECK(!bindings.find(make_packet(1, 1000, 5000 + distance)));
+    CHECK(bindings.find(make_packet(1, 900, 70000)) == first_server);
+    bindings.bind(make_packet(1, 1000 + distance, 5000),
+                  second_server,
+                  binding_basis::token,
+                  now,
+                  out);
+    CHECK(bindings.find(make_packet(1, 1000 + distance, 5000)) ==
+          second_server);
+    CHECK(!bindings.find(make_packet(1)));
+}
+
+TEST(binding_table, earlier_flow_of_the_same_port_does_not_replace_a_later_one)
+{
+    constexpr std::uint32_t distance = 1U << 30U;
+    bindings.bind(make_packet(1, 1000 + distance),
+                  second_server,
+                  binding_basis::token,
+                  now,
+                  out);
+    bindings.on_message(
+        {1, 1}, {{make_binding(1, first_server, 20s)}}, now, out);
+    CHECK(bindings.find(make_packet(1, 1000 + distance)) == second_server);
+}
+
+TEST(binding_table, first_packet_belongs_to_the_flow_that_it_began)
+{
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    auto copy = make_packet(1, 999, 2);
+    copy.type = packet_type::open;
+    CHECK(bindings.find(copy) == first_server);
+    copy.sequence += 1U << 30U;
+    CHECK(!bindings.find(copy));
+}
+
+/// A keeper that restarts has lost its bindings, and another forwarder becomes
+/// a keeper when one is lost.
+TEST(binding_table, new_keepers_are_sent_all_bindings)
+{
+    bindings.set_forwarders({make_forwarder(1), make_forwarder(2)}, now);
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    respond(make_forwarder(1), make_binding(1, first_server, 1ms));
+    respond(make_forwarder(2), make_binding(1, first_server, 1ms));
+    bindings.set_forwarders({make_forwarder(1, 2), make_forwarder(2)}, now);
+    advance(1ms);
+    CHECK_EQUAL(1U, sent_counts().size());
+    CHECK_EQUAL(1U, sent_counts().count(make_forwarder(1).heartbeat_endpoint));
+    respond(make_forwarder(1, 2), make_binding(1, first_server, 1ms));
+    bindings.set_forwarders({make_forwarder(2), make_forwarder(3)}, now);
+    advance(1ms);
+    CHECK_EQUAL(1U, sent_counts().count(make_forwarder(3).heartbeat_endpoint));
+    CHECK_EQUAL(0U, sent_counts().count(make_forwarder(2).heartbeat_endpoint));
+}
+
+/// The forwarder that bound a flow informs its keepers; they would each send it
+/// to all others otherwise.
+TEST(binding_table, keeper_does_not_send_a_binding_that_it_received)
+{
+    bindings.set_forwarders(
+        {make_forwarder(1), make_forwarder(2), make_forwarder(3)}, now);
+    bindings.on_message(make_forwarder(1).heartbeat_endpoint,
+                        {{make_binding(1, first_server, 1ms)}},
+                        now,
+                        out);
+    CHECK(bindings.is_settled(make_flow_key(1)));
+    advance(5s);
+    CHECK(effects_of_type<send_bindings>(out).empty());
+    CHECK(bindings.find(make_packet(1)) == first_server);
+}
+
+TEST(binding_table, bindings_end_with_the_lifetime_of_flows)
+{
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    advance(30s);
+    bindings.bind(make_packet(2), first_server, binding_basis::token, now, out);
+    CHECK_EQUAL(2U, bindings.size());
+    CHECK(*bindings.next_timer_at() <= now.steady + 30s);
+    advance(30s);
+    CHECK_EQUAL(1U, bindings.size());
+    advance(30s);
+    CHECK_EQUAL(0U, bindings.size());
+    CHECK(!bindings.next_timer_at());
+}
+
+TEST(binding_table, oldest_binding_goes_first_from_a_full_table)
+{
+    for (std::uint16_t port = 1; port <= 101; ++port)
+    {
+        bindings.bind(
+            make_packet(port), first_server, binding_basis::token, now, out);
+        advance(1ms);
+    }
+    bindings.bind(
+        make_packet(102), first_server, binding_basis::token, now, out);
+    CHECK_EQUAL(100U, bindings.size());
+    CHECK(!bindings.find(make_packet(1)));
+    CHECK(!bindings.find(make_packet(2)));
+    CHECK(bindings.find(make_packet(3)) == first_server);
+    auto const counted = effects_of_type<increment_forwarder_counter>(out);
+    CHECK_EQUAL(1U, counted.size());
+    CHECK(counted.front().id == forwarder_counter::bindings_evicted);
+}
+
+/// Messages fit into a datagram, however many bindings a new keeper lacks.
+TEST(binding_table, many_bindings_are_sent_in_several_messages)
+{
+    for (std::uint16_t port = 1; port <= 90; ++port)
+    {
+        bindings.bind(
+            make_packet(port), first_server, binding_basis::token, now, out);
+    }
+    bindings.set_forwarders({make_forwarder(1)}, now);
+    advance(1ms);
+    auto const messages = effects_of_type<send_bindings>(out);
+    std::size_t total = 0;
+    for (auto const& sent : messages)
+    {
+        CHECK(sent.message.bindings.size() <= 24);
+        total += sent.message.bindings.size();
+    }
+    CHECK_EQUAL(90U, total);
+}
+
+/// A keeper that never responds does not get the binding at a constant rate.
+TEST(binding_table, sends_less_often_to_a_silent_keeper)
+{
+    bindings.set_forwarders({make_forwarder(1)}, now);
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    std::size_t sent = 0;
+    for (int i = 0; i < 400; ++i)
+    {
+        advance(25ms);
+        sent += sent_counts().size();
+    }
+    CHECK(sent >= 10);
+    CHECK(sent <= 20);
+}
+
+} // namespace
+} // namespace dotterelrouter
--- /dev/null
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -0,0 +1,172 @@
+// The bindings that a forwarder holds, and their replication. Include
+// "dotterelrouter/bindings/bindings.hpp".
+#pragma once
+
+#include "dotterelrouter/forwarding/forwarding.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace dotterelrouter
+{
+
+/// Maximum size of a binding table. At the size to design for it is reached
+/// only if nearly every flow is bound.
+inline constexpr std::size_t max_bindings = 16384;
+
+/// Time for which a forwarder waits for the first response of a keeper to a
+/// binding by token. By then silent keepers are not live in a small fleet, and
+/// others have been asked.
+inline constexpr duration max_lookup_time = std::chrono::seconds{1};
+
+/// Settings of a binding table.
+struct binding_table_settings
+{
+    data_centre_id data_centre{}; ///< Of this forwarder.
+    /// Age from which a flow may be discarded, and its binding with it.
+    duration flow_lifetime = std::chrono::seconds{60};
+    std::size_t max_size = max_bindings;
+};
+
+/// What a forwarder knows of a flow that it binds.
+enum class binding_basis : std::uint8_t
+{
+    seen_open, ///< It saw the flow open at the server.
+    token,     ///< Only the token of a packet names the server.
+};
+
+/// Whether the sequence numbers may belong to the same flow: they differ by
+/// less than a flow transfers in its lifetime.
+[[nodiscard]] bool is_same_stream(std::uint32_t first, std::uint32_t second);
+
+/// Holds bindings, and sends each to its keepers until they have responded.
+/// The first binding of a flow wins wherever two differ.
+class binding_table
+{
+public:
+    explicit binding_table(binding_table_settings settings)
+        : settings_(settings)
+    {
+    }
+
+    /// Sets the other forwarders that are live. Bindings are sent to those that
+    /// are keepers now and were not before.
+    void set_forwarders(std::vector<live_forwarder> forwarders, instant now);
+
+    /// Returns the server to which the flow of a packet is bound, if it is. A
+    /// first packet belongs to a bound flow if it began that flow.
+    [[nodiscard]] std::optional<server_id>
+    find(caller_packet const& packet) const;
+
+    /// Binds the flow of a packet to a server, unless it is bound already, and
+    /// sends the binding to the keepers.
+    void bind(caller_packet const& packet,
+              server_id server,
+              binding_basis basis,
+              instant now,
+              forwarder_effects& out);
+
+    /// True while a keeper has not responded to the binding of this flow.
+    [[nodiscard]] bool is_awaiting_keepers(flow_key flow) const;
+    /// False if the flow is bound by a token only, and no other forwarder has
+    /// confirmed that. True if the flow is not bound.
+    [[nodiscard]] bool is_settled(flow_key flow) const;
+
+    /// True while keepers that should have responded leave open whether the
+    /// flow was bound before; false from `max_lookup_time` after it was bound.
+    [[nodiscard]] bool is_unconfirmed(flow_key flow, instant now) const;
+
+    /// Merges the bindings of a message, and responds to it unless it is a
+    /// response. Returns the flows whose binding was replaced by an earlier one
+    /// to another server, and logs them.
+    std::vector<flow_key> on_message(endpoint from,
+                                     binding_message const& message,
+                                     instant now,
+                                     forwarder_effects& out);
+
+    /// Sends bindings again to keepers that have not responded, and removes
+    /// those whose lifetime is over.
+    void on_timer(instant now, forwarder_effects& out);
+
+    /// Time at which on_timer is due; empty if there is nothing to do.
+    [[nodiscard]] std::optional<steady_time> next_timer_at() const;
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return entries_.size();
+    }
+
+private:
+    /// One run of another forwarder.
+    struct peer_run
+    {
+        endpoint address;
+        std::uint64_t incarnation = 0;
+
+        friend bool operator==(peer_run, peer_run) = default;
+    };
+
+    struct entry
+    {
+        flow_binding binding; ///< Its age is not kept up to date.
+        steady_time bound_at;
+        std::uint64_t insertion = 0; ///< Number of the insertion.
+        /// Forwarders that hold the binding or are sent it by another one.
+        std::vector<peer_run> informed;
+        bool awaits_keepers = false;
+        bool is_settled = false; ///< See is_settled().
+        steady_time next_send_at;
+        duration resend_delay{};
+    };
+
+    /// Bindings to send, by destination.
+    using outgoing = std::map<endpoint, std::vector<flow_binding>>;
+
+    struct lifetime_end
+    {
+        steady_time at;
+        flow_key flow;
+        std::uint64_t insertion = 0; ///< Tells a later flow of the key apart.
+    };
+
+    entry& insert(flow_binding const& binding,
+                  steady_time bound_at,
+                  instant now,
+                  forwarder_effects& out);
+    /// Returns the binding that is held after the merge, with its age.
+    flow_binding merge(flow_binding const& received,
+                       endpoint from,
+                       instant now,
+                       forwarder_effects& out);
+    void on_response(flow_binding const& held, endpoint from);
+    /// Replaces a binding if the other one is of the same flow, earlier and to
+    /// another server. Returns whether it did.
+    bool replace_if_later(entry& bound, flow_binding const& other, instant now);
+    void mark_informed(entry& bound, endpoint address);
+    /// Collects what a binding's keepers lack; clears `awaits_keepers` if that
+    /// is nothing.
+    void send_to_keepers(entry& bound, instant now, outgoing& messages);
+    [[nodiscard]] std::vector<peer_run> keeper_runs(flow_key flow) const;
+    [[nodiscard]] std::optional<std::uint64_t>
+    incarnation_of(endpoint address) const;
+    /// Removes the entry that was inserted first. Returns false if there is
+    /// none before `due`.
+    bool remove_oldest(steady_time due);
+
+    binding_table_settings settings_;
+    std::vector<live_forwarder> forwarders_{};
+    std::unordered_map<flow_key, entry> entries_{};
+    /// Flows whose bindings are sent to keepers; may hold flows that are gone.
+    std::vector<flow_key> unconfirmed_{};
+    std::deque<lifetime_end> lifetime_ends_{}; ///< In the order of insertion.
+    std::optional<steady_time> next_send_at_{};
+    std::uint64_t insertions_ = 0;
+};
+
+} // namespace dotterelrouter
--- a/dotterelrouter/codec/internal/replication_codec.hpp
+++ b/dotterelrouter/codec/internal/replication_codec.hpp
@@ -31,6 +31,14 @@
 /// An age of more than 24 hours is reduced to 24 hours.
 [[nodiscard]] std::optional<heartbeat> decode_heartbeat(byte_view bytes);
 
+/// Encodes bindings of flows. The caller limits their number so that the result
+/// fits into a datagram. Ages are rounded down to microseconds.
+[[nodiscard]] std::string encode_bindings(binding_message const& message);
+/// Decodes bindings of flows. Returns nullopt if the bytes are malformed, a
+/// field is out of range, or there is no binding, as in a heartbeat. An age of
+/// more than 24 hours is reduced to 24 hours.
+[[nodiscard]] std::optional<binding_message> decode_bindings(byte_view bytes);
+
 /// Encodes the query of an HTTP request for what a directory of this version
 /// lacks, such as after=90&era=2&routes=11.
 [[nodiscard]] std::string encode_changes_query(directory_version after);
--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -22,6 +22,7 @@
 /// Maximum duration in a message, in milliseconds (24 hours). Larger ages are
 /// reduced to it; larger durations of other kinds are rejected.
 constexpr std::uint64_t max_duration_ms = 24ULL * 3600 * 1000;
+constexpr std::uint64_t max_duration_us = 1000 * max_duration_ms;
 
 constexpr std::string_view after_parameter = "after=";
 constexpr std::string_view era_parameter = "era=";
@@ -58,13 +59,11 @@
 /// Inverse of age_to_wire. Larger ages are reduced to max_duration_ms.
 std::optional<duration> age_from_wire(std::uint64_t age_us_and_one)
 {
-    constexpr std::uint64_t us_per_ms = 1000;
     if (age_us_and_one == 0)
     {
         return std::nullopt;
     }
-    return microseconds{
-        std::min(age_us_and_one - 1, max_duration_ms * us_per_ms)};
+    return microseconds{std::min(age_us_and_one - 1, max_duration_us)};
 }
 
 /// Returns a duration in milliseconds, rounded down; 0 if it is negative.
@@ -169,6 +168,30 @@
            from_milliseconds(in.cold_ms(), out.cold_remaining);
 }
 
+void to_wire(flow_binding const& value, wire::FlowBinding& out)
+{
+    out.set_caller_ip(value.flow.caller.ip);
+    out.set_caller_port(value.flow.caller.port);
+    out.set_address_ip(value.flow.service_address.ip);
+    out.set_address_port(value.flow.service_address.port);
+    out.set_sequence(value.sequence);
+    out.set_acknowledgement(value.acknowledgement);
+    out.set_server(value.server.value);
+    out.set_age_us(age_to_wire(value.age) - 1);
+}
+
+bool from_wire(wire::FlowBinding const& in, flow_binding& out)
+{
+    out.flow.caller.ip = in.caller_ip();
+    out.flow.service_address.ip = in.address_ip();
+    out.sequence = in.sequence();
+    out.acknowledgement = in.acknowledgement();
+    out.server.value = in.server();
+    out.age = microseconds{std::min(in.age_us(), max_duration_us)};
+    return narrow(in.caller_port(), out.flow.caller.port) &&
+           narrow(in.address_port(), out.flow.service_address.port);
+}
+
 } // namespace
 
 std::string encode_heartbeat(heartbeat const& message)
@@ -209,6 +232,36 @@
     return message;
 }
 
+std::string encode_bindings(binding_message const& message)
+{
+    wire::FlowBindings out;
+    out.set_response(message.is_response);
+    for (auto const& binding : message.bindings)
+    {
+        to_wire(binding, *out.add_bindings());
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<binding_message> decode_bindings(byte_view bytes)
+{
+    wire::FlowBindings in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+        in.bindings().empty())
+    {
+        return std::nullopt;
+    }
+    binding_message message{.is_response = in.response()};
+    for (auto const& binding : in.bindings())
+    {
+        if (!from_wire(binding, message.bindings.emplace_back()))
+        {
+            return std::nullopt;
+        }
+    }
+    return message;
+}
+
 std::string encode_changes_query(directory_version after)
 {
     return std::string{after_parameter} + std::to_string(after.revision.value) +
--- a/dotterelrouter/codec/replication_codec_test.cpp
+++ b/dotterelrouter/codec/replication_codec_test.cpp
@@ -53,6 +53,54 @@
     CHECK(!decode_heartbeat(as_byte_view(encode_heartbeat(message)))->age);
 }
 
+TEST(replication_codec, bindings_are_unchanged_after_round_trip)
+{
+    binding_message message;
+    message.bindings = {{.flow = testing::make_flow_key(40001),
+                         .sequence = UINT32_MAX,
+                         .acknowledgement = 5,
+                         .server = {0xfffffffc},
+                         .age = 1500us},
+                        {.flow = testing::make_flow_key(7), .server = {4}}};
+    message.is_response = true;
+    auto const decoded =
+        decode_bindings(as_byte_view(encode_bindings(message)));
+    CHECK(decoded == message);
+    message.is_response = false;
+    CHECK(decode_bindings(as_byte_view(encode_bindings(message))) == message);
+}
+
+/// Heartbeats and bindings arrive at the same port.
+TEST(replication_codec, heartbeat_is_not_taken_for_bindings)
+{
+    heartbeat message;
+    message.incarnation = 77;
+    message.known_forwarder_ips = {1, 2};
+    CHECK(!decode_bindings(as_byte_view(encode_heartbeat(message))));
+    CHECK(!decode_bindings(as_byte_view(encode_heartbeat({}))));
+}
+
+TEST(replication_codec, bindings_out_of_range_are_rejected)
+{
+    CHECK(!decode_bindings(as_byte_view("\x82\x01\x04\x10\x80\x80\x04")));
+    CHECK(!decode_bindings(as_byte_view("\x82\x01\x7f")));
+    CHECK(!decode_bindings(as_byte_view("")));
+}
+
+/// 24 bindings stand for a forwarder that restarted among many bound flows.
+TEST(replication_codec, message_with_24_bindings_fits_into_a_datagram)
+{
+    binding_message message;
+    message.bindings.assign(
+        24,
+        {.flow = {{UINT32_MAX, UINT16_MAX}, {UINT32_MAX, UINT16_MAX}},
+         .sequence = UINT32_MAX,
+         .acknowledgement = UINT32_MAX,
+         .server = {UINT32_MAX},
+         .age = 24h});
+    CHECK(encode_bindings(message).size() <= 1400);
+}
+
 /// 16 addresses stand for the heartbeat of a large fleet.
 TEST(replication_codec, heartbeat_with_16_addresses_fits_into_a_datagram)
 {
@@ -128,6 +176,11 @@
                                               response->update, response->age)))
                       .has_value());
         }
+        if (auto const message = decode_bindings(as_byte_view(bytes)))
+        {
+            CHECK(decode_bindings(as_byte_view(encode_bindings(*message))) ==
+                  message);
+        }
         if (auto const message = decode_heartbeat(as_byte_view(bytes)))
         {
             CHECK(encode_heartbeat(*message).size() <= max_heartbeat_size);
--- a/dotterelrouter/forwarder/flows.cpp
+++ b/dotterelrouter/forwarder/flows.cpp
@@ -45,7 +45,7 @@
     flow.load_at_choice = flows_.load_of(server->id);
     flow.routes_version = directory_.routes_version();
     flows_.assign(flow, server->id);
-    auto const token = flow.add_attempt(server->id);
+    flow.add_attempt(server->id);
     flow.last_attempt = now.steady;
     if (flow.attempts <= handshake_timeouts.size())
     {
@@ -53,7 +53,7 @@
                         now.steady + handshake_timeouts[flow.attempts - 1]);
     }
     reachability_.on_flow_sent(server->id, server->record.data_centre, now);
-    forward_to(*server, flow.first_packet, token, out);
+    forward_to(*server, flow.first_packet, opening_token_of(server->id), out);
     if (flow.attempts > 1)
     {
         out.push_back(
@@ -166,7 +166,8 @@
         flows_.remove(flow.key);
         return;
     }
-    auto const can_retry = flow.attempts <= handshake_timeouts.size() &&
+    auto const can_retry = !flow.awaits_binding &&
+                           flow.attempts <= handshake_timeouts.size() &&
                            is_unaffected_by_pause(flow);
     auto const* const flow_route =
         directory_.find_route(flow.key.service_address);
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -48,7 +48,9 @@
               .data_centre = data_centre_,
               .incarnation = settings.incarnation,
               .seeds = std::move(settings.seeds)}),
-      reader_(settings.incarnation), reachability_(data_centre_)
+      reader_(settings.incarnation), reachability_(data_centre_),
+      bindings_({.data_centre = data_centre_,
+                 .flow_lifetime = settings.flow_lifetime})
 {
 }
 
@@ -70,6 +72,7 @@
             on(concrete_event, now, out);
         },
         next_event);
+    update_keepers(now);
     arm_timer(now, out);
 }
 
@@ -209,6 +212,8 @@
         reachability_.on_data_centre_silence_changed(data_centre, !live);
     }
     process_due_flows(now, out);
+    bindings_.on_timer(now, out);
+    release_held_flows({}, now, out);
     update_reader(now, out);
     request_changes_if_behind(now, out);
     report_freshness(now, out);
@@ -393,7 +398,6 @@
     auto next = peers_.next_timer_at();
     std::initializer_list<std::optional<steady_time>> const deadlines = {
         directory_.next_timer_at(),
-        flows_.next_timer_at(),
         freshness_.becomes_stale_at(peers_.staleness_timeout()),
         shutdown_started_at_
             ? std::optional{now.steady + shutdown_check_interval}
@@ -404,10 +408,14 @@
         {
             next = std::min(next, *deadline);
         }
-        else if (deadline && deadline == flows_.next_timer_at())
-        {
-            next = now.steady;
-        }
+    }
+    std::initializer_list<std::optional<steady_time>> const prompt_deadlines = {
+        flows_.next_timer_at(),
+        held_flows_.next_timer_at(),
+        bindings_.next_timer_at()};
+    for (auto const& deadline : prompt_deadlines)
+    {
+        next = deadline ? std::min(next, *deadline) : next;
     }
     if (auto const retry = reader_.next_read_at();
         retry && *retry > now.steady && (was_reader_ || is_stale(now)))
@@ -427,7 +435,8 @@
     return {.routes_version = directory_.routes_version(),
             .revision = directory_.revision(),
             .directory_age = freshness_.age(now),
-            .tracked_flows = flows_.size()};
+            .tracked_flows = flows_.size(),
+            .bindings = bindings_.size()};
 }
 
 } // namespace dotterelrouter
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -7,17 +7,18 @@
 //
 // The forwarder assigns a flow's first packet to a server. All later packets
 // carry the token of that server, so that any forwarder can forward the packets
-// of an open flow without any state of it. A forwarder tracks the flows that it
-// placed only for load estimates, retries and logs; losing this state breaks no
-// flow. If a server does not respond to a first packet, the packet is sent
-// to another server; the flow opens at the server whose handshake the caller
-// acknowledges.
+// of an open flow without any state of it. If a server does not respond to a
+// first packet, the packet is sent to another server; the flow opens at the
+// server whose handshake the caller acknowledges. Then the caller may hold the
+// token of the other one, and forwarders share the flow's binding.
 //
 // Not thread-safe. Views in effects are valid until the next call of `reduce`.
 #pragma once
 
+#include "dotterelrouter/bindings/bindings.hpp"
 #include "dotterelrouter/directory/directory.hpp"
 #include "dotterelrouter/forwarder/internal/flow_table.hpp"
+#include "dotterelrouter/forwarder/internal/held_flows.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 #include "dotterelrouter/overload/overload.hpp"
 #include "dotterelrouter/reachability/reachability.hpp"
@@ -41,6 +42,8 @@
     std::uint64_t incarnation = 0; ///< Random number that each start draws.
     /// Heartbeat addresses of forwarders to contact first.
     std::vector<endpoint> seeds{};
+    /// Age from which a flow may be discarded.
+    duration flow_lifetime = std::chrono::seconds{60};
 };
 
 /// Current values of the gauge metrics.
@@ -53,6 +56,8 @@
     std::optional<duration> directory_age{};
     /// Number of flows that this forwarder tracks.
     std::size_t tracked_flows = 0;
+    /// Number of bindings of flows that this forwarder holds.
+    std::size_t bindings = 0;
 };
 
 /// Decides where each packet goes, and keeps the directory up to date.
@@ -86,6 +91,9 @@
     void on(heartbeat_received const& next_event,
             instant now,
             forwarder_effects& out);
+    void on(bindings_received const& next_event,
+            instant now,
+            forwarder_effects& out);
     void on(changes_requested const& next_event,
             instant now,
             forwarder_effects& out);
@@ -116,15 +124,64 @@
                                caller_packet const& packet,
                                instant now,
                                forwarder_effects& out);
-    void forward_by_token(caller_packet const& packet,
-                          instant now,
-                          forwarder_effects& out);
+    void on_unplaced_flow_packet(caller_packet const& packet,
+                                 instant now,
+                                 forwarder_effects& out);
+    /// Forwards a packet of an open flow, with the settled token of the server
+    /// unless only this forwarder knows the flow's binding.
+    void forward_later_packet(server_entry const& server,
+                              caller_packet const& packet,
+                              forwarder_effects& out);
+    void drop_unrouted_packet(caller_packet const& packet,
+                              instant now,
+                              forwarder_effects& out);
     /// Whether packets that arrive now may have been queued during a long pause
     /// of this process.
     [[nodiscard]] bool is_resuming_from_long_pause(instant now) const;
     /// Copies a packet into the buffer; drops the oldest one if it is full.
     void buffer_packet(caller_packet const& packet, instant now);
     void process_buffered_packets(instant now, forwarder_effects& out);
+    void process_waiting_packets(std::vector<internal::buffered_packet> packets,
+                                 instant now,
+                                 forwarder_effects& out);
+
+    // Where flows are open.
+    /// Marks a flow as open at the server that a packet and the flow's binding
+    /// tell. Returns false if the packet was held or dropped.
+    bool open_flow(internal::placed_flow& flow,
+                   caller_packet const& packet,
+                   instant now,
+                   forwarder_effects& out);
+    void bind_flow(caller_packet const& packet,
+                   server_entry const& server,
+                   binding_basis basis,
+                   std::string_view reason,
+                   instant now,
+                   forwarder_effects& out);
+    /// Holds a packet if keepers have not responded to its flow's binding, and
+    /// returns whether it does.
+    bool hold_until_confirmed(caller_packet const& packet,
+                              instant now,
+                              forwarder_effects& out);
+    /// Holds a packet if no keeper has responded to its flow's binding.
+    bool hold_if_unconfirmed(caller_packet const& packet,
+                             instant now,
+                             forwarder_effects& out);
+    void
+    log_unconfirmed_flows(std::span<internal::buffered_packet const> released,
+                          std::span<flow_key const> rebound,
+                          instant now,
+                          forwarder_effects& out);
+    /// Handles the packets of held flows that are due, confirmed or `rebound`.
+    void release_held_flows(std::span<flow_key const> rebound,
+                            instant now,
+                            forwarder_effects& out);
+    /// Forwards a packet to the server to which its flow is bound, and returns
+    /// whether it is bound.
+    bool forward_to_bound_server(caller_packet const& packet,
+                                 instant now,
+                                 forwarder_effects& out);
+    void update_keepers(instant now);
 
     // Placement.
     /// Chooses a server for a flow and sends it the flow's first packet. Does
@@ -208,14 +265,6 @@
     void advance_shutdown(instant now, forwarder_effects& out);
     void arm_timer(instant now, forwarder_effects& out);
 
-    /// A packet that is buffered until the first directory arrives.
-    struct buffered_packet
-    {
-        steady_time arrived;
-        caller_packet packet;
-        std::vector<std::byte> bytes;
-    };
-
     data_centre_id data_centre_{};
     std::uint64_t incarnation_{};
     directory directory_;
@@ -225,9 +274,14 @@
     reachability reachability_;
     load_shedder load_shedder_;
     internal::flow_table flows_;
-    std::vector<buffered_packet> buffered_packets_{};
+    binding_table bindings_;
+    /// Version of the peers that were passed to `bindings_`.
+    std::uint64_t keepers_version_ = 0;
+    internal::held_flows held_flows_;
+    /// Packets that wait for the first directory.
+    std::vector<internal::buffered_packet> buffered_packets_{};
     /// Owns the bytes that effects of the current event view.
-    std::vector<buffered_packet> processed_packets_{};
+    std::vector<internal::buffered_packet> processed_packets_{};
     std::optional<steady_time> started_at_{};
     std::optional<steady_time> shutdown_started_at_{};
     steady_time last_event_at_{};
--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -3,6 +3,7 @@
 // "dotterelrouter/forwarder/forwarder.hpp" instead.
 #pragma once
 
+#include "dotterelrouter/bindings/bindings.hpp"
 #include "dotterelrouter/directory/directory.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
@@ -20,6 +21,9 @@
 namespace dotterelrouter::internal
 {
 
+/// Maximum number of attempts to open one flow that are remembered.
+inline constexpr std::size_t max_attempts = 4;
+
 /// State of a flow that this forwarder assigned to a server. Attempts may be
 /// made at several servers until the flow opens, but only the one whose
 /// handshake the caller acknowledged has the connection: packets that carry the
@@ -37,6 +41,8 @@
     std::size_t attempts = 0;
     /// The server that opened the flow; before that, that of the last attempt.
     server_id server;
+    /// The caller acknowledged a handshake, but it is not known which one.
+    bool awaits_binding = false;
     bool opened = false;  ///< The caller acknowledged a server's handshake.
     bool closed = false;  ///< The caller closed or aborted the flow.
     bool in_load = false; ///< The flow counts in its server's load.
@@ -62,28 +68,19 @@
         return std::span{attempted}.first(attempts);
     }
 
-    /// Records an attempt at a server, and returns the token for the first
-    /// packet sent to it. Replaces the last entry if `max_attempts` attempts
-    /// were recorded already.
-    route_token add_attempt(server_id candidate)
+    /// Records an attempt at a server. Replaces the last entry if
+    /// `max_attempts` attempts were recorded already.
+    void add_attempt(server_id candidate)
     {
         auto const index = std::min(attempts, max_attempts - 1);
         attempted[index] = candidate;
         attempts = index + 1;
-        return token_of(attempted.front(), index);
     }
 
-    /// The server of the attempt that a token was written for; empty if the
-    /// token names another first server or an attempt that this forwarder did
-    /// not make, as it does if it was written for another flow or by another
-    /// forwarder.
-    [[nodiscard]] std::optional<server_id>
-    server_of_attempt(route_token token) const
-    {
-        return attempts > attempt_in(token) &&
-                       server_id_in(token) == attempted.front()
-                   ? std::optional{attempted[attempt_in(token)]}
-                   : std::nullopt;
+    /// Whether an attempt was made at a server.
+    [[nodiscard]] bool has_attempted(server_id candidate) const
+    {
+        return std::ranges::count(attempted_servers(), candidate) != 0;
     }
 };
 
@@ -147,6 +144,17 @@
         add_to_load(flow);
     }
 
+    /// Moves a flow to another server, and its load if it is counted.
+    void move(placed_flow& flow, server_id server)
+    {
+        auto const is_counted = flow.in_load;
+        assign(flow, server);
+        if (!is_counted)
+        {
+            remove_from_load(flow);
+        }
+    }
+
     /// Number of flows of this forwarder that count in a server's load.
     [[nodiscard]] std::uint32_t load_of(server_id server) const
     {
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -8,6 +8,8 @@
 namespace dotterelrouter
 {
 
+using internal::buffered_packet;
+using internal::buffered_packet_ttl;
 using internal::closed_flow_ttl;
 using internal::opening_timeout;
 using internal::placed_flow;
@@ -22,9 +24,6 @@
 /// First packets that were queued meanwhile are dropped, so that no second
 /// server responds to an open flow.
 constexpr duration min_long_pause = std::chrono::seconds{1};
-/// Time after which a buffered packet is dropped: its caller has
-/// retransmitted it within that time.
-constexpr duration buffered_packet_ttl = std::chrono::milliseconds{250};
 
 } // namespace
 
@@ -57,11 +56,7 @@
     {
         buffered_packets_.erase(buffered_packets_.begin());
     }
-    buffered_packets_.push_back(
-        {.arrived = now.steady,
-         .packet = packet,
-         .bytes = {packet.bytes.begin(), packet.bytes.end()}});
-    buffered_packets_.back().packet.request_id = {};
+    buffered_packets_.push_back(internal::copy_of(packet, now));
 }
 
 void forwarder::process_buffered_packets(instant now, forwarder_effects& out)
@@ -70,14 +65,22 @@
     {
         return;
     }
-    processed_packets_ = std::exchange(buffered_packets_, {});
-    for (auto& buffered : processed_packets_)
+    process_waiting_packets(std::exchange(buffered_packets_, {}), now, out);
+}
+
+void forwarder::process_waiting_packets(std::vector<buffered_packet> packets,
+                                        instant now,
+                                        forwarder_effects& out)
+{
+    for (auto& waiting : packets)
     {
-        if (now.steady - buffered.arrived <= buffered_packet_ttl)
+        if (now.steady - waiting.arrived > buffered_packet_ttl)
         {
-            buffered.packet.bytes = buffered.bytes;
-            on_packet(buffered.packet, now, out);
+            continue;
         }
+        auto& processed = processed_packets_.emplace_back(std::move(waiting));
+        processed.packet.bytes = processed.bytes;
+        on_packet(caller_packet{processed.packet}, now, out);
     }
 }
 
@@ -111,12 +114,18 @@
             increment_forwarder_counter{forwarder_counter::packets_stale});
         return;
     }
+    auto const is_new =
+        flow == nullptr || flow->first_sequence != packet.sequence;
+    if (is_new && forward_to_bound_server(packet, now, out))
+    {
+        return;
+    }
     if (flow == nullptr && !should_admit(*flow_route, packet.flow))
     {
         refuse_packet(packet, "service overloaded", now, out);
         return;
     }
-    if (flow == nullptr || flow->first_sequence != packet.sequence)
+    if (is_new)
     {
         flow = &flows_.add(packet.flow, now.steady + opening_timeout);
         flow->first_sequence = packet.sequence;
@@ -134,6 +143,10 @@
         }
         return;
     }
+    if (flow->awaits_binding)
+    {
+        return; // The caller sent this copy before a handshake arrived.
+    }
     if (flow->attempts > 0)
     {
         report_handshake_timeout(*flow, now, out);
@@ -179,29 +192,24 @@
                                 instant now,
                                 forwarder_effects& out)
 {
-    if (auto* const flow = flows_.find(packet.flow))
+    if (held_flows_.hold_if_held(packet, now))
+    {
+        out.push_back(
+            increment_forwarder_counter{forwarder_counter::packets_held});
+        return;
+    }
+    auto* const flow = flows_.find(packet.flow);
+    if (flow != nullptr)
     {
         on_placed_flow_packet(*flow, packet, now, out);
         return;
     }
-    forward_by_token(packet, now, out);
+    on_unplaced_flow_packet(packet, now, out);
 }
 
 namespace
 {
 
-/// The server that opened a flow, according to the first token that the caller
-/// echoes. If the caller has sent more than its first packet already, routers
-/// moved the flow here after it opened through another forwarder. Attempts made
-/// here meanwhile are ignored then, and the server in the token counts.
-server_id opening_server(placed_flow const& flow, caller_packet const& packet)
-{
-    auto const is_first_response = packet.sequence - flow.first_sequence <= 1;
-    auto const attempted_server =
-        is_first_response ? flow.server_of_attempt(packet.token) : std::nullopt;
-    return attempted_server.value_or(server_id_in(packet.token));
-}
-
 /// Whether the packet that acknowledges a response marks the end of the
 /// response time. False if the caller may have paused between the response and
 /// this packet: on a reused flow, it may be the next request or the close.
@@ -245,11 +253,10 @@
                                       forwarder_effects& out)
 {
     flow.last_seen = now.steady;
-    if (!flow.opened && packet.token != route_token{})
+    if (!flow.opened && packet.token != route_token{} &&
+        !open_flow(flow, packet, now, out))
     {
-        auto const server = opening_server(flow, packet);
-        auto const is_known = directory_.find_server(server) != nullptr;
-        mark_opened(flow, is_known ? server : flow.server, now, out);
+        return;
     }
     auto const* const server = directory_.find_server(flow.server);
     if (!flow.opening_logged && flow.opened && !packet.request_id.empty())
@@ -279,21 +286,32 @@
     }
     if (server == nullptr)
     {
-        forward_by_token(packet, now, out);
+        on_unplaced_flow_packet(packet, now, out);
         return;
     }
-    forward_to(*server, packet.bytes, token_of(server->id), out);
+    forward_later_packet(*server, packet, out);
 }
 
-void forwarder::forward_by_token(caller_packet const& packet,
-                                 instant now,
-                                 forwarder_effects& out)
+void forwarder::forward_later_packet(server_entry const& server,
+                                     caller_packet const& packet,
+                                     forwarder_effects& out)
 {
-    if (auto const* const server = directory_.find_server(packet.token))
+    if (packet.token != route_token{} &&
+        server_id_in(packet.token) != server.id)
     {
-        forward_to(*server, packet.bytes, token_of(server->id), out);
-        return;
+        out.push_back(
+            increment_forwarder_counter{forwarder_counter::packets_retargeted});
     }
+    auto const token = bindings_.is_settled(packet.flow)
+                           ? token_of(server.id)
+                           : opening_token_of(server.id);
+    forward_to(server, packet.bytes, token, out);
+}
+
+void forwarder::drop_unrouted_packet(caller_packet const& packet,
+                                     instant now,
+                                     forwarder_effects& out)
+{
     // Dropped without a refusal: the flow may be open at a server that the
     // directory does not list yet, and the caller retransmits the packet.
     out.push_back(
@@ -302,7 +320,7 @@
         log_decision{.type = decision::flow_token_unknown,
                      .flow = packet.flow,
                      .request_id = std::string{packet.request_id},
-                     .reason = "token names no server of the directory",
+                     .reason = "server of the flow is not in the directory",
                      .revision = directory_.revision(),
                      .age = freshness_.age(now)});
     if (auto const peer = peers_.any_live_peer();
--- a/dotterelrouter/forwarding/internal/effects.hpp
+++ b/dotterelrouter/forwarding/internal/effects.hpp
@@ -53,6 +53,14 @@
     std::shared_ptr<heartbeat const> message{};
 };
 
+/// Sends bindings of flows, or the response to some, to another forwarder. It
+/// may be lost; `bindings_received` brings the response.
+struct send_bindings
+{
+    endpoint destination{}; ///< Where the receiver takes heartbeats.
+    binding_message message{};
+};
+
 /// Requests what this forwarder's directory lacks from another forwarder. Ends
 /// in `peer_changes_received` or `peer_changes_failed`.
 struct request_changes
@@ -108,6 +116,9 @@
     flow_not_opened,
     flow_unfinished,
     flow_token_unknown,
+    flow_bound,
+    flow_rebound,
+    flow_binding_unconfirmed,
     invariant_broken,
 };
 
@@ -141,6 +152,14 @@
     flows_not_opened,
     flows_unfinished,
     flows_tried_again,
+    /// Flows whose binding was shared with other forwarders.
+    flows_bound,
+    /// Packets held until other forwarders said where their flow is open.
+    packets_held,
+    /// Packets of open flows whose token named another server.
+    packets_retargeted,
+    /// Bindings dropped because the table was full.
+    bindings_evicted,
     store_reads,
     store_failures,
     directory_updates,
@@ -172,6 +191,7 @@
                                       read_snapshot,
                                       watch_changes,
                                       send_heartbeat,
+                                      send_bindings,
                                       request_changes,
                                       send_changes,
                                       set_readiness,
--- a/dotterelrouter/forwarding/internal/events.hpp
+++ b/dotterelrouter/forwarding/internal/events.hpp
@@ -65,6 +65,14 @@
     heartbeat message{};
 };
 
+/// Bindings of flows, or a response to some, were received from another
+/// forwarder.
+struct bindings_received
+{
+    endpoint from{}; ///< Where the sender takes heartbeats.
+    binding_message message{};
+};
+
 /// Another forwarder requested what its directory lacks.
 struct changes_requested
 {
@@ -101,6 +109,7 @@
                                      changes_read,
                                      store_read_failed,
                                      heartbeat_received,
+                                     bindings_received,
                                      changes_requested,
                                      peer_changes_received,
                                      peer_changes_failed,
--- a/dotterelrouter/forwarding/internal/messages.hpp
+++ b/dotterelrouter/forwarding/internal/messages.hpp
@@ -2,6 +2,7 @@
 // "dotterelrouter/forwarding/forwarding.hpp".
 #pragma once
 
+#include "dotterelrouter/config/config.hpp"
 #include "dotterelrouter/core/core.hpp"
 #include "dotterelrouter/forwarding/internal/records.hpp"
 
@@ -27,4 +28,41 @@
     std::vector<std::uint32_t> known_forwarder_ips{};
 };
 
+/// Another forwarder that is live and not shutting down.
+struct live_forwarder
+{
+    endpoint heartbeat_endpoint{};
+    std::uint64_t incarnation = 0; ///< Changes when it starts again.
+    data_centre_id data_centre{};
+
+    friend bool operator==(live_forwarder, live_forwarder) = default;
+};
+
+/// The server at which a flow is open. Forwarders share the bindings of those
+/// flows whose caller may hold the token of another server.
+struct flow_binding
+{
+    flow_key flow{};
+    /// Sequence and acknowledgement number of the caller's packet at which the
+    /// flow was bound. They tell flows of the same key apart, since a caller
+    /// uses its ports again.
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledgement = 0;
+    server_id server{};
+    duration age{}; ///< Time since the flow was bound.
+
+    friend bool operator==(flow_binding const&, flow_binding const&) = default;
+};
+
+/// Bindings that one forwarder sends to another. The receiver keeps those that
+/// it lacks, and responds with the ones that it then holds for the same flows.
+struct binding_message
+{
+    std::vector<flow_binding> bindings{};
+    bool is_response = false;
+
+    friend bool operator==(binding_message const&,
+                           binding_message const&) = default;
+};
+
 } // namespace dotterelrouter
--- a/dotterelrouter/replication/internal/peers.hpp
+++ b/dotterelrouter/replication/internal/peers.hpp
@@ -119,6 +119,15 @@
     /// Returns a live peer, preferably one in this forwarder's data centre.
     [[nodiscard]] std::optional<endpoint> any_live_peer() const;
 
+    /// Returns the live peers that are not shutting down, by address.
+    [[nodiscard]] std::vector<live_forwarder> live_forwarders() const;
+
+    /// Changes whenever live_forwarders() may have changed.
+    [[nodiscard]] std::uint64_t live_forwarders_version() const
+    {
+        return live_forwarders_version_;
+    }
+
     /// Returns the data centres from which heartbeats were received; the value
     /// is true if one of them was received recently.
     [[nodiscard]] std::map<data_centre_id, bool>
@@ -166,6 +175,7 @@
     std::vector<pending_request> pending_requests_{};
     steady_time next_heartbeat_at_{};
     std::uint64_t heartbeat_rounds_ = 0; ///< Sent so far.
+    std::uint64_t live_forwarders_version_ = 0;
     /// Number of peers for which `precedes_as_reader` holds.
     std::size_t preceding_readers_ = 0;
     duration staleness_timeout_; ///< Updated in each round of heartbeats.
--- a/dotterelrouter/replication/peers.cpp
+++ b/dotterelrouter/replication/peers.cpp
@@ -106,6 +106,8 @@
                                    .subject = to_string(from)});
     }
     preceding_readers_ -= precedes_as_reader(from, sender) ? 1 : 0;
+    live_forwarders_version_ +=
+        outcome.is_sender_new || sender.draining != message.draining ? 1U : 0U;
     sender.last_heard_at = now.steady;
     sender.incarnation = message.incarnation;
     sender.data_centre = message.data_centre;
@@ -131,6 +133,7 @@
         {
             preceding_readers_ -= precedes_as_reader(address, state) ? 1 : 0;
             state.live = false;
+            ++live_forwarders_version_;
             out.push_back(log_decision{.type = decision::peer_lost,
                                        .subject = to_string(address)});
         }
@@ -364,6 +367,20 @@
     return remote_peer;
 }
 
+std::vector<live_forwarder> peers::live_forwarders() const
+{
+    std::vector<live_forwarder> forwarders;
+    for (auto const& [address, state] : peers_)
+    {
+        if (state.live && !state.draining)
+        {
+            forwarders.push_back(
+                {address, state.incarnation, state.data_centre});
+        }
+    }
+    return forwarders;
+}
+
 std::map<data_centre_id, bool> peers::data_centre_liveness(instant now) const
 {
     std::map<data_centre_id, bool> liveness;
--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -77,7 +77,8 @@
           reducer_({.heartbeat_endpoint = settings_.heartbeat_endpoint,
                     .data_centre = settings_.data_centre_name,
                     .incarnation = random_incarnation(),
-                    .seeds = seed_endpoints(settings_)})
+                    .seeds = seed_endpoints(settings_),
+                    .flow_lifetime = settings_.flow_lifetime})
     {
         reducer_timer_.set_deadline(clock_.now().steady);
         settings_check_timer_.set_deadline(clock_.now().steady +
@@ -102,6 +103,11 @@
             on_packet(received.bytes);
             return;
         }
+        if (auto message = decode_bindings(received.bytes))
+        {
+            deliver(bindings_received{received.from, std::move(*message)});
+            return;
+        }
         if (auto message = decode_heartbeat(received.bytes))
         {
             deliver(heartbeat_received{received.from, std::move(*message)});
@@ -171,6 +177,14 @@
             std::as_bytes(std::span{bytes.data(), bytes.size()}));
     }
 
+    void execute(send_bindings const& requested_effect)
+    {
+        auto const bytes = encode_bindings(requested_effect.message);
+        heartbeat_port_.send(
+            requested_effect.destination,
+            std::as_bytes(std::span{bytes.data(), bytes.size()}));
+    }
+
     void execute(request_changes const& requested_effect);
 
     void execute(send_changes const& requested_effect)
@@ -429,6 +443,7 @@
              .directory_revision = gauges.revision,
              .directory_age_seconds = directory_age.count(),
              .tracked_flows = gauges.tracked_flows,
+             .bindings = gauges.bindings,
              .datagrams_dropped = statistics.dropped_full +
                                   statistics.dropped_oversized +
                                   statistics.send_errors,
--- a/dotterelrouter/telemetry/decision_log.cpp
+++ b/dotterelrouter/telemetry/decision_log.cpp
@@ -32,6 +32,9 @@
     case decision::flow_not_opened:
     case decision::flow_unfinished:
     case decision::flow_token_unknown:
+    case decision::flow_bound:
+    case decision::flow_rebound:
+    case decision::flow_binding_unconfirmed:
         return record_class::flow_problem;
     default:
         return record_class::state_change;
@@ -77,6 +80,9 @@
     std::string_view{"flow_not_opened"},
     std::string_view{"flow_unfinished"},
     std::string_view{"flow_token_unknown"},
+    std::string_view{"flow_bound"},
+    std::string_view{"flow_rebound"},
+    std::string_view{"flow_binding_unconfirmed"},
     std::string_view{"invariant_broken"},
 };
 static_assert(decision_names.size() ==
--- a/dotterelrouter/telemetry/forwarder_metrics.cpp
+++ b/dotterelrouter/telemetry/forwarder_metrics.cpp
@@ -38,6 +38,14 @@
         return "flows_unfinished";
     case forwarder_counter::flows_tried_again:
         return "flows_tried_again";
+    case forwarder_counter::flows_bound:
+        return "flows_bound";
+    case forwarder_counter::packets_held:
+        return "packets_held";
+    case forwarder_counter::packets_retargeted:
+        return "packets_retargeted";
+    case forwarder_counter::bindings_evicted:
+        return "bindings_evicted";
     case forwarder_counter::store_reads:
         return "store_reads";
     case forwarder_counter::store_failures:
@@ -118,6 +126,7 @@
               "directory_era",
               static_cast<double>(samples.directory_revision.era));
     add_gauge(families, "flows", static_cast<double>(samples.tracked_flows));
+    add_gauge(families, "bindings", static_cast<double>(samples.bindings));
     add_gauge(families, "directory_age_seconds", samples.directory_age_seconds);
     auto& histogram = add_family(families,
                                  "handshake_duration_seconds",
--- a/dotterelrouter/telemetry/internal/forwarder_metrics.hpp
+++ b/dotterelrouter/telemetry/internal/forwarder_metrics.hpp
@@ -26,6 +26,8 @@
 
     std::size_t tracked_flows = 0; ///< Entries in the flow table.
 
+    std::size_t bindings = 0; ///< Bindings of flows that are held.
+
     /// Datagrams that were oversized, found a full buffer or failed to be sent.
     std::uint64_t datagrams_dropped = 0;
 
--- a/testing/forwarding/fleet_callers.cpp
+++ b/testing/forwarding/fleet_callers.cpp
@@ -86,7 +86,7 @@
 {
     auto const has_own_token =
         flow.server &&
-        flow.token == token_of(server_id_for_number(*flow.server));
+        server_id_in(flow.token) == server_id_for_number(*flow.server);
     if (has_own_token && *flow.server != server)
     {
         report_violation(
--- /dev/null
+++ b/testing/forwarding/forwarder_group.cpp
@@ -0,0 +1,282 @@
+#include "testing/forwarding/forwarder_group.hpp"
+
+#include <algorithm>
+
+namespace dotterelrouter::testing
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration message_delay = 500us;
+constexpr std::uint32_t handshake_sequence = 500000;
+
+} // namespace
+
+forwarder_group::forwarder_group(std::vector<std::string> data_centres,
+                                 std::uint32_t server_count)
+{
+    for (std::uint32_t number = 1; number <= server_count; ++number)
+    {
+        servers_.push_back(make_server_record(number, revision_));
+    }
+    for (std::size_t index = 0; index < data_centres.size(); ++index)
+    {
+        members_.push_back(
+            {.address = {0x0a010001 + static_cast<std::uint32_t>(index), 7720},
+             .data_centre = std::move(data_centres[index])});
+    }
+    for (std::size_t index = 0; index < members_.size(); ++index)
+    {
+        start(index);
+    }
+    advance(2s);
+}
+
+void forwarder_group::start(std::size_t index)
+{
+    auto& started = members_[index];
+    started.reducer = std::make_unique<forwarder>(forwarder_settings{
+        .heartbeat_endpoint = started.address,
+        .data_centre = started.data_centre,
+        .incarnation = ++starts_,
+        .seeds = {members_.front().address, members_.back().address}});
+    started.waiting.clear();
+    started.is_frozen = false;
+    deliver(index, timer_fired{});
+}
+
+void forwarder_group::restart(std::size_t index)
+{
+    kill(index);
+    start(index);
+}
+
+void forwarder_group::kill(std::size_t index)
+{
+    std::erase_if(messages_,
+                  [&](message const& sent)
+                  {
+                      return sent.receiver == index;
+                  });
+    members_[index].reducer.reset();
+    members_[index].timer_at = steady_time::max();
+}
+
+void forwarder_group::freeze(std::size_t index)
+{
+    members_[index].is_frozen = true;
+}
+
+void forwarder_group::wake(std::size_t index)
+{
+    auto& woken = members_[index];
+    woken.is_frozen = false;
+    for (auto const& next_event : std::exchange(woken.waiting, {}))
+    {
+        deliver(index, next_event);
+    }
+}
+
+void forwarder_group::cut(std::size_t first, std::size_t second)
+{
+    cuts_.insert({first, second});
+    cuts_.insert({second, first});
+}
+
+void forwarder_group::set_servers(std::vector<server_record> servers)
+{
+    servers_ = std::move(servers);
+    ++revision_;
+    for (std::size_t index = 0; index < members_.size(); ++index)
+    {
+        if (members_[index].reducer)
+        {
+            execute(index, read_snapshot{});
+        }
+    }
+}
+
+std::size_t forwarder_group::count_logged(decision type) const
+{
+    return static_cast<std::size_t>(std::ranges::count(logged_, type));
+}
+
+packet_arrived forwarder_group::first_packet(std::uint16_t port,
+                                             std::uint32_t copies)
+{
+    auto arrived =
+        make_packet_arrived(make_flow_key(port), packet_type::open, {}, copies);
+    arrived.packet.sequence = group_first_sequence;
+    return arrived;
+}
+
+packet_arrived forwarder_group::acknowledgement(std::uint16_t port,
+                                                route_token token)
+{
+    auto arrived = make_packet_arrived(
+        make_flow_key(port), packet_type::data, token, handshake_sequence);
+    arrived.packet.sequence = group_first_sequence + 1;
+    return arrived;
+}
+
+packet_arrived forwarder_group::request(std::uint16_t port, route_token token)
+{
+    constexpr std::uint32_t earlier_request_size = 900;
+    constexpr std::uint32_t earlier_response_size = 600;
+    auto arrived =
+        make_packet_arrived(make_flow_key(port),
+                            packet_type::data,
+                            token,
+                            handshake_sequence + earlier_response_size);
+    arrived.packet.sequence = group_first_sequence + 1 + earlier_request_size;
+    arrived.packet.data_size = earlier_request_size;
+    return arrived;
+}
+
+std::optional<forward_packet>
+forwarder_group::send(std::size_t index, packet_arrived const& arrived)
+{
+    auto const forwarded_before = forwarded_.size();
+    deliver(index, arrived);
+    advance(response_time);
+    return forwarded_.size() == forwarded_before
+               ? std::nullopt
+               : std::optional{forwarded_.back()};
+}
+
+void forwarder_group::advance(duration time)
+{
+    auto const until = now_.steady + time;
+    while (run_next(until))
+    {
+    }
+    now_.wall += until - now_.steady;
+    now_.steady = until;
+}
+
+bool forwarder_group::run_next(steady_time until)
+{
+    auto const next_timer =
+        std::ranges::min_element(members_,
+                                 {},
+                                 [](member const& candidate)
+                                 {
+                                     return candidate.is_frozen
+                                                ? steady_time::max()
+                                                : candidate.timer_at;
+                                 });
+    auto const timer_at =
+        next_timer->is_frozen ? steady_time::max() : next_timer->timer_at;
+    auto const message_at =
+        messages_.empty() ? steady_time::max() : messages_.front().due;
+    auto const next = std::min(timer_at, message_at);
+    if (next > until)
+    {
+        return false;
+    }
+    now_.wall += std::max(duration::zero(), duration{next - now_.steady});
+    now_.steady = std::max(now_.steady, next);
+    if (message_at <= timer_at)
+    {
+        auto const arrived = std::move(messages_.front());
+        messages_.pop_front();
+        deliver(arrived.receiver, arrived.next_event);
+        return true;
+    }
+    next_timer->timer_at = steady_time::max();
+    deliver(static_cast<std::size_t>(next_timer - members_.begin()),
+            timer_fired{});
+    return true;
+}
+
+void forwarder_group::deliver(std::size_t index,
+                              forwarder_event const& next_event)
+{
+    auto& receiver = members_[index];
+    if (!receiver.reducer)
+    {
+        return;
+    }
+    if (receiver.is_frozen)
+    {
+        receiver.waiting.push_back(next_event);
+        return;
+    }
+    forwarder_effects effects;
+    receiver.reducer->reduce(next_event, now_, effects);
+    for (auto const& requested_effect : effects)
+    {
+        std::visit(
+            [&](auto const& concrete_effect)
+            {
+                execute(index, concrete_effect);
+            },
+            requested_effect);
+    }
+}
+
+void forwarder_group::post(std::size_t from,
+                           endpoint to,
+                           forwarder_event next_event)
+{
+    auto const receiver = std::ranges::find(members_, to, &member::address);
+    auto const index = static_cast<std::size_t>(receiver - members_.begin());
+    if (receiver == members_.end() || cuts_.contains({from, index}))
+    {
+        return;
+    }
+    messages_.push_back(
+        {now_.steady + message_delay, index, std::move(next_event)});
+}
+
+void forwarder_group::execute(std::size_t /*index*/,
+                              forward_packet const& requested_effect)
+{
+    forwarded_.push_back(requested_effect);
+    forwarded_.back().bytes = {};
+}
+
+void forwarder_group::execute(std::size_t index,
+                              send_heartbeat const& requested_effect)
+{
+    post(
+        index,
+        requested_effect.destination,
+        heartbeat_received{members_[index].address, *requested_effect.message});
+}
+
+void forwarder_group::execute(std::size_t index,
+                              send_bindings const& requested_effect)
+{
+    ++binding_messages_;
+    post(index,
+         requested_effect.destination,
+         bindings_received{members_[index].address, requested_effect.message});
+}
+
+void forwarder_group::execute(std::size_t index,
+                              read_snapshot const& /*requested_effect*/)
+{
+    snapshot_page_read page;
+    page.update.through = {revision_};
+    page.update.complete = true;
+    page.update.servers = servers_;
+    page.update.routes = make_route_table(1, 1);
+    messages_.push_back({now_.steady + message_delay, index, std::move(page)});
+}
+
+void forwarder_group::execute(std::size_t index,
+                              set_timer const& requested_effect)
+{
+    members_[index].timer_at = requested_effect.deadline;
+}
+
+void forwarder_group::execute(std::size_t /*index*/,
+                              log_decision const& requested_effect)
+{
+    logged_.push_back(requested_effect.type);
+}
+
+} // namespace dotterelrouter::testing
--- /dev/null
+++ b/testing/forwarding/forwarder_group.hpp
@@ -0,0 +1,139 @@
+// A few forwarders in virtual time, whose callers and routers a test plays: it
+// decides which forwarder receives each packet and with which token.
+//
+//     forwarder_group group({"a", "a", "a"}, 2);
+//     auto const first = group.send(0, group.first_packet(port));
+//     group.advance(26ms);
+//     group.restart(0);
+//     CHECK(group.send(1, group.data(port, first->token)) ...);
+#pragma once
+
+#include "dotterelrouter/forwarder/forwarder.hpp"
+#include "testing/forwarding/records.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace dotterelrouter::testing
+{
+
+/// Sequence number of the first packet of all flows of a group.
+inline constexpr std::uint32_t group_first_sequence = 1000;
+
+/// Forwarders that read the same servers and exchange messages within 1 ms.
+class forwarder_group
+{
+public:
+    /// Starts a forwarder in each of `data_centres`, which knows servers 1 to
+    /// `server_count` of data centre "a", and waits until all know each other.
+    forwarder_group(std::vector<std::string> data_centres,
+                    std::uint32_t server_count);
+
+    /// Hands a packet to a forwarder, and lets messages between forwarders
+    /// arrive for `response_time`. Returns the last packet that was forwarded
+    /// to a server meanwhile; empty if there was none.
+    std::optional<forward_packet> send(std::size_t index,
+                                       packet_arrived const& arrived);
+
+    /// A copy of a flow's first packet; `copies` were sent before.
+    static packet_arrived first_packet(std::uint16_t port,
+                                       std::uint32_t copies = 0);
+    /// The caller's acknowledgement of the handshake of a server.
+    static packet_arrived acknowledgement(std::uint16_t port,
+                                          route_token token);
+    /// A later request, after the caller has received a response.
+    static packet_arrived request(std::uint16_t port, route_token token);
+
+    /// Advances the clock; timers and messages come due meanwhile.
+    void advance(duration time);
+
+    /// Replaces a process by a new one that knows nothing.
+    void restart(std::size_t index);
+    /// Ends a process. Messages to it are lost.
+    void kill(std::size_t index);
+    /// Stops a process, so that events for it wait until it is woken.
+    void freeze(std::size_t index);
+    void wake(std::size_t index);
+    /// Drops all messages between two forwarders.
+    void cut(std::size_t first, std::size_t second);
+
+    /// Hands the directories of all forwarders these servers only.
+    void set_servers(std::vector<server_record> servers);
+
+    /// Number of messages with bindings, responses included.
+    [[nodiscard]] std::size_t binding_messages() const
+    {
+        return binding_messages_;
+    }
+
+    /// Number of log entries of a type, of all forwarders.
+    [[nodiscard]] std::size_t count_logged(decision type) const;
+
+    /// Packets forwarded to servers, in order.
+    [[nodiscard]] std::span<forward_packet const> forwarded() const
+    {
+        return forwarded_;
+    }
+
+    /// Time for which `send` waits for messages between forwarders.
+    static constexpr duration response_time = std::chrono::milliseconds{4};
+
+private:
+    struct member
+    {
+        endpoint address{};
+        std::string data_centre;
+        std::unique_ptr<forwarder> reducer{};
+        steady_time timer_at = steady_time::max();
+        bool is_frozen = false;
+        std::vector<forwarder_event> waiting{};
+    };
+
+    struct message
+    {
+        steady_time due;
+        std::size_t receiver = 0;
+        forwarder_event next_event;
+    };
+
+    void start(std::size_t index);
+    void deliver(std::size_t index, forwarder_event const& next_event);
+    void execute(std::size_t index, forward_packet const& requested_effect);
+    void execute(std::size_t index, send_heartbeat const& requested_effect);
+    void execute(std::size_t index, send_bindings const& requested_effect);
+    void execute(std::size_t index, read_snapshot const& requested_effect);
+    void execute(std::size_t index, set_timer const& requested_effect);
+    void execute(std::size_t index, log_decision const& requested_effect);
+
+    /// Other effects have no consequences here.
+    template <class Other>
+    void execute(std::size_t /*index*/, Other const& /*requested_effect*/)
+    {
+    }
+
+    void post(std::size_t from, endpoint to, forwarder_event next_event);
+    /// Runs the first timer or message that is due by `until`. Returns false if
+    /// there is none.
+    bool run_next(steady_time until);
+
+    instant now_{steady_time{std::chrono::hours{1}},
+                 wall_time{std::chrono::hours{1}}};
+    std::vector<member> members_{};
+    std::deque<message> messages_{};
+    std::set<std::pair<std::size_t, std::size_t>> cuts_{};
+    std::vector<server_record> servers_{};
+    std::uint64_t revision_ = 10;
+    std::uint64_t starts_ = 0;
+    std::vector<forward_packet> forwarded_{};
+    std::vector<decision> logged_{};
+    std::size_t binding_messages_ = 0;
+};
+
+} // namespace dotterelrouter::testing
--- /dev/null
+++ b/testing/forwarding/openings_neighbours_test.cpp
@@ -0,0 +1,164 @@
+// Related ways in which a packet of an open flow could reach another server: a
+// port used again, a server that left the directory, cuts, and data centres.
+#include "testing/forwarding/forwarder_group.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+namespace dotterelrouter::testing
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration caller_pause = 3s;
+
+/// Returns a packet of a later flow, for which the caller used its port again.
+packet_arrived of_later_flow(packet_arrived arrived)
+{
+    constexpr std::uint32_t distance = 2000000000;
+    arrived.packet.sequence += distance;
+    if (arrived.packet.type != packet_type::open)
+    {
+        arrived.packet.acknowledgement += distance;
+    }
+    return arrived;
+}
+
+/// Opens a flow at the second server that is tried, through a forwarder.
+/// Returns the packets to both servers.
+std::pair<forward_packet, forward_packet> open_at_second_server(
+    forwarder_group& group, std::size_t index, std::uint16_t port)
+{
+    auto const first = *group.send(index, forwarder_group::first_packet(port));
+    group.advance(30ms);
+    auto const second = group.forwarded().back();
+    group.send(index, forwarder_group::acknowledgement(port, second.token));
+    return {first, second};
+}
+
+// clang-format off
+TEST_GROUP(opening_neighbours)
+{
+};
+
+// clang-format on
+
+/// A binding of the earlier flow does not bind a later one.
+TEST(opening_neighbours, binding_ends_with_its_flow)
+{
+    forwarder_group group{{"a", "a", "a"}, 4};
+    auto const [first, second] = open_at_second_server(group, 0, 1);
+    group.restart(0);
+    group.advance(1s);
+    auto const other_server = 10 - first.server_number - second.server_number;
+    auto const token = opening_token_of(server_id_for_number(
+        static_cast<std::uint32_t>(other_server > 4 ? 1 : other_server)));
+    for (std::size_t index = 0; index < 3; ++index)
+    {
+        auto const forwarded = group.send(
+            index, of_later_flow(forwarder_group::request(1, token)));
+        CHECK(forwarded.has_value());
+        CHECK(server_id_in(forwarded->token) == server_id_in(token));
+    }
+}
+
+/// All forwarders of a data centre are gone, and routers use those of another
+/// one.
+TEST(opening_neighbours, flow_moves_to_another_data_centre)
+{
+    forwarder_group group{{"a", "a", "b", "b", "b"}, 4};
+    for (std::uint16_t port = 1; port <= 10; ++port)
+    {
+        auto const [first, second] = open_at_second_server(group, 0, port);
+        group.kill(0);
+        group.kill(1);
+        auto const index = static_cast<std::size_t>(2 + port % 3);
+        auto const moved =
+            group.send(index, forwarder_group::request(port, first.token));
+        CHECK(moved.has_value());
+        CHECK_EQUAL(second.server_number, moved->server_number);
+        group.restart(0);
+        group.restart(1);
+        group.advance(2s);
+    }
+}
+
+/// A data centre is cut off from the others.
+TEST(opening_neighbours, flow_keeps_its_server_within_a_cut_data_centre)
+{
+    forwarder_group group{{"a", "a", "a", "b", "b"}, 4};
+    for (std::size_t inside = 0; inside < 3; ++inside)
+    {
+        group.cut(inside, 3);
+        group.cut(inside, 4);
+    }
+    auto const [first, second] = open_at_second_server(group, 0, 1);
+    group.advance(caller_pause);
+    group.restart(0);
+    group.advance(1s);
+    for (std::size_t index = 0; index < 3; ++index)
+    {
+        auto const forwarded =
+            group.send(index, forwarder_group::request(1, first.token));
+        CHECK(forwarded.has_value());
+        CHECK_EQUAL(second.server_number, forwarded->server_number);
+    }
+}
+
+/// No keeper responds, since all of them stand still. The packets go nowhere
+/// while one of them may know the flow, and follow their token when none is
+/// live.
+TEST(opening_neighbours, packets_wait_for_silent_keepers)
+{
+    forwarder_group group{{"a", "a", "a"}, 4};
+    auto const first = *group.send(0, forwarder_group::first_packet(1));
+    group.freeze(0);
+    group.freeze(2);
+    auto const arrived = forwarder_group::acknowledgement(1, first.token);
+    CHECK(!group.send(1, arrived).has_value());
+    group.advance(200ms);
+    CHECK_EQUAL(1U, group.count_logged(decision::flow_binding_unconfirmed));
+    CHECK(!group.send(1, arrived).has_value());
+    group.advance(1s);
+    auto const forwarded = group.send(1, arrived);
+    CHECK(forwarded.has_value());
+    CHECK_EQUAL(first.server_number, forwarded->server_number);
+    CHECK(!is_settled(forwarded->token));
+}
+
+/// One of several keepers stands still. The packet waits for it only briefly.
+TEST(opening_neighbours, packet_is_held_only_briefly_for_one_silent_keeper)
+{
+    forwarder_group group{{"a", "a", "a"}, 4};
+    auto const first = *group.send(0, forwarder_group::first_packet(1));
+    group.freeze(2);
+    auto const arrived = forwarder_group::acknowledgement(1, first.token);
+    CHECK(!group.send(1, arrived).has_value());
+    group.advance(60ms);
+    CHECK_EQUAL(first.server_number, group.forwarded().back().server_number);
+    CHECK(is_settled(group.forwarded().back().token));
+}
+
+/// A forwarder binds a flow while the keepers that know it can't be reached,
+/// and learns later that the flow was bound before.
+TEST(opening_neighbours, earlier_binding_wins_when_a_keeper_is_back)
+{
+    forwarder_group group{{"a", "a", "a"}, 4};
+    auto const [first, second] = open_at_second_server(group, 0, 1);
+    group.freeze(0);
+    group.freeze(2);
+    group.restart(1);
+    group.advance(500ms);
+    group.send(1, forwarder_group::request(1, first.token));
+    group.wake(0);
+    group.wake(2);
+    group.advance(2s);
+    auto const forwarded =
+        group.send(1, forwarder_group::request(1, first.token));
+    CHECK(forwarded.has_value());
+    CHECK_EQUAL(second.server_number, forwarded->server_number);
+}
+
+} // namespace
+} // namespace dotterelrouter::testing
--- /dev/null
+++ b/testing/forwarding/openings_test.cpp
@@ -0,0 +1,180 @@
+// Open flows whose caller holds the token of a server at which they are not
+// open, across restarts of forwarders.
+#include "testing/forwarding/forwarder_group.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+namespace dotterelrouter::testing
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Callers pause for this long between two requests, so that no packet of a
+/// flow tells a forwarder anything.
+constexpr duration caller_pause = 3s;
+
+// clang-format off
+TEST_GROUP(openings)
+{
+    forwarder_group group{{"a", "a", "a", "a", "a"}, 4};
+
+    /// Sends a packet to a forwarder, and returns the number of the server that
+    /// it reached; 0 if it reached none.
+    std::uint64_t server_reached(std::size_t index, packet_arrived const& arrived)
+    {
+        auto const forwarded = group.send(index, arrived);
+        return forwarded ? forwarded->server_number : 0;
+    }
+
+    /// Restarts forwarders in turn, `pause` apart.
+    void restart_in_turn(std::initializer_list<std::size_t> indexes, duration pause)
+    {
+        for (auto const index : indexes)
+        {
+            group.restart(index);
+            group.advance(pause);
+        }
+    }
+};
+
+// clang-format on
+
+/// review/2: the handshake of the first server was lost, and the flow opened at
+/// the second one. The first server sent its handshake again, so that the
+/// caller held its token when its forwarder had restarted.
+TEST(openings, late_handshake_of_the_first_server_does_not_move_an_open_flow)
+{
+    auto const first = *group.send(0, forwarder_group::first_packet(1));
+    group.advance(30ms);
+    auto const second = group.forwarded().back();
+    CHECK(first.server_number != second.server_number);
+    CHECK_EQUAL(
+        second.server_number,
+        server_reached(0, forwarder_group::acknowledgement(1, second.token)));
+    group.advance(caller_pause);
+    restart_in_turn({0}, caller_pause);
+    for (std::size_t index = 0; index < 5; ++index)
+    {
+        CHECK_EQUAL(
+            second.server_number,
+            server_reached(index, forwarder_group::request(1, first.token)));
+    }
+}
+
+/// The same, with two rounds of restarts, 1 s apart: bindings move on to
+/// forwarders that were not there when the flow opened.
+TEST(openings, open_flow_keeps_its_server_over_two_rounds_of_restarts)
+{
+    for (std::uint16_t port = 1; port <= 20; ++port)
+    {
+        auto const first = *group.send(0, forwarder_group::first_packet(port));
+        group.advance(30ms);
+        auto const second = group.forwarded().back();
+        group.send(0, forwarder_group::acknowledgement(port, second.token));
+        restart_in_turn({0, 1, 2, 3, 4, 0, 1, 2, 3, 4}, 1s);
+        auto const index = static_cast<std::size_t>(port % 5);
+        CHECK_EQUAL(
+            second.server_number,
+            server_reached(index, forwarder_group::request(port, first.token)));
+    }
+}
+
+/// The late handshake was that of the second server, and routers had moved the
+/// flow while it opened, so that its forwarder never saw it open (soak test of
+/// the forwarders, seeds 5, 8 and 10).
+TEST(openings, flow_that_moved_while_it_opened_stays_at_the_first_server)
+{
+    auto const first = *group.send(0, forwarder_group::first_packet(1));
+    CHECK_EQUAL(
+        first.server_number,
+        server_reached(1, forwarder_group::acknowledgement(1, first.token)));
+    group.advance(30ms);
+    auto const second = group.forwarded().back();
+    CHECK(second.server_number != first.server_number);
+    group.advance(caller_pause);
+    restart_in_turn({1}, caller_pause);
+    for (std::size_t index = 0; index < 5; ++index)
+    {
+        CHECK_EQUAL(
+            first.server_number,
+            server_reached(index, forwarder_group::request(1, second.token)));
+    }
+}
+
+/// Killed forwarders hand nothing over.
+TEST(openings, open_flow_keeps_its_server_when_its_forwarder_is_killed)
+{
+    auto const first = *group.send(0, forwarder_group::first_packet(1));
+    group.advance(30ms);
+    auto const second = group.forwarded().back();
+    group.send(0, forwarder_group::acknowledgement(1, second.token));
+    group.kill(0);
+    for (std::size_t index = 1; index < 5; ++index)
+    {
+        CHECK_EQUAL(
+            second.server_number,
+            server_reached(index, forwarder_group::request(1, first.token)));
+    }
+}
+
+/// One forwarder and one keeper after the other are lost for good.
+TEST(openings, open_flow_keeps_its_server_while_forwarders_are_lost)
+{
+    auto const first = *group.send(0, forwarder_group::first_packet(1));
+    group.advance(30ms);
+    auto const second = group.forwarded().back();
+    group.send(0, forwarder_group::acknowledgement(1, second.token));
+    for (std::size_t index = 0; index < 4; ++index)
+    {
+        group.kill(index);
+        group.advance(caller_pause);
+        CHECK_EQUAL(second.server_number,
+                    server_reached(index + 1,
+                                   forwarder_group::request(1, first.token)));
+    }
+}
+
+/// review/1: the first server was full, the flow opened at the second one, and
+/// routers moved it before the caller had received a response. Its token named
+/// the first server, which reset the flow.
+TEST(openings, flow_opened_at_the_second_server_may_move_at_once)
+{
+    auto const first = *group.send(0, forwarder_group::first_packet(1));
+    group.advance(30ms);
+    auto const second = group.forwarded().back();
+    CHECK(second.server_number != first.server_number);
+    // The acknowledgement of the handshake reaches another forwarder.
+    CHECK_EQUAL(
+        second.server_number,
+        server_reached(1, forwarder_group::acknowledgement(1, second.token)));
+}
+
+/// The same, but the flow moved after its forwarder saw it open.
+TEST(openings, flow_opened_at_the_second_server_may_move_before_a_response)
+{
+    group.send(0, forwarder_group::first_packet(1));
+    group.advance(30ms);
+    auto const second = group.forwarded().back();
+    group.send(0, forwarder_group::acknowledgement(1, second.token));
+    group.advance(100ms);
+    restart_in_turn({0}, 1s);
+    CHECK_EQUAL(
+        second.server_number,
+        server_reached(2, forwarder_group::acknowledgement(1, second.token)));
+}
+
+/// A flow that opens at the first attempt costs the other forwarders nothing.
+TEST(openings, flow_opened_at_the_first_attempt_is_not_shared)
+{
+    auto const first = *group.send(0, forwarder_group::first_packet(1));
+    group.send(0, forwarder_group::acknowledgement(1, first.token));
+    group.advance(caller_pause);
+    group.send(
+        3, forwarder_group::request(1, token_of(server_id_in(first.token))));
+    CHECK_EQUAL(0U, group.binding_messages());
+}
+
+} // namespace
+} // namespace dotterelrouter::testing
