Look a flow up if a copy of its first packet may be at another server

Cause: a forwarder stood still for 0.8 s with a flow's first packet in its socket. Routers sent the caller's copy to another forwarder, where the flow opened at the first attempt. On waking the first one placed the packet at a server of its own, whose handshake replaced the caller's token. To both forwarders the opening looked like any other one. The same without a pause: a copy at another forwarder, or an acknowledgement that comes so late that the caller has sent a copy.

Change: a flow is beyond doubt only if its first packet was the caller's original, can't have waited in the socket, and was acknowledged within 150 ms. All others are bound before a packet goes on, so that the opening that came first wins at every forwarder.

--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -38,6 +38,9 @@
 /// Minimum time without any event that counts as a pause: a process without an
 /// event for twice the heartbeat interval did not run.
 constexpr duration min_pause = 2 * heartbeat_interval;
+/// Minimum time without any event after which packets may have waited for long
+/// in the socket. Shorter than a pause, since a process may be idle so long.
+constexpr duration min_queueing_gap = std::chrono::milliseconds{100};
 
 } // namespace
 
@@ -63,6 +66,8 @@
     {
         started_at_ = now.steady;
         last_event_at_ = now.steady;
+        // The socket is older than the first event by an unknown time.
+        queue_ends_at_ = now.steady + internal::resume_grace_period;
         out.push_back(log_decision{.type = decision::started});
     }
     detect_pause(now, out);
@@ -79,6 +84,11 @@
 void forwarder::detect_pause(instant now, forwarder_effects& out)
 {
     auto const pause = duration{now.steady - last_event_at_};
+    if (pause >= min_queueing_gap)
+    {
+        queue_began_at_ = last_event_at_;
+        queue_ends_at_ = now.steady + internal::resume_grace_period;
+    }
     last_event_at_ = now.steady;
     if (pause >= min_pause)
     {
@@ -90,6 +100,13 @@
     }
 }
 
+steady_time forwarder::earliest_arrival(instant now) const
+{
+    auto const arrival =
+        now.steady < queue_ends_at_ ? queue_began_at_ : now.steady;
+    return waiting_since_ ? std::min(arrival, *waiting_since_) : arrival;
+}
+
 bool forwarder::may_have_queued(instant now) const
 {
     return last_pause_ >= min_pause &&
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -135,6 +135,8 @@
     void drop_unrouted_packet(caller_packet const& packet,
                               instant now,
                               forwarder_effects& out);
+    /// Earliest time at which a packet that is handled now can have arrived.
+    [[nodiscard]] steady_time earliest_arrival(instant now) const;
     /// Whether packets that arrive now may have been queued during a long pause
     /// of this process.
     [[nodiscard]] bool is_resuming_from_long_pause(instant now) const;
@@ -287,6 +289,12 @@
     steady_time last_event_at_{};
     steady_time resumed_at_{}; ///< End of the last pause of this process.
     duration last_pause_{};    ///< Length of the last pause.
+    /// Packets handled until `queue_ends_at_` may have waited in the socket
+    /// since `queue_began_at_`.
+    steady_time queue_began_at_{};
+    steady_time queue_ends_at_{};
+    /// Arrival of the packet that is handled, if it was held or buffered.
+    std::optional<steady_time> waiting_since_{};
     steady_time last_packet_at_{};
     std::optional<steady_time> timer_armed_for_{};
     bool reported_ready_ = false;
--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -35,12 +35,18 @@
     /// and another sequence number starts a new flow.
     std::uint32_t first_sequence = 0;
     steady_time first_seen;
+    /// The flow's first packet can't have arrived before this time. It may have
+    /// waited in the socket until it was seen.
+    steady_time arrived_after;
     steady_time last_attempt; ///< When the last attempt was made.
     steady_time last_seen;    ///< When the caller's last packet arrived.
     std::array<server_id, max_attempts> attempted{};
     std::size_t attempts = 0;
     /// The server that opened the flow; before that, that of the last attempt.
     server_id server;
+    /// The caller sent its first packet several times. Other copies may have
+    /// reached other forwarders.
+    bool has_copies = false;
     /// The caller acknowledged a handshake, but it is not known which one.
     bool awaits_binding = false;
     bool opened = false;  ///< The caller acknowledged a server's handshake.
--- a/dotterelrouter/forwarder/internal/opening.hpp
+++ b/dotterelrouter/forwarder/internal/opening.hpp
@@ -8,11 +8,16 @@
 #include "dotterelrouter/forwarder/internal/flow_table.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
+#include <chrono>
 #include <cstdint>
 
 namespace dotterelrouter::internal
 {
 
+/// Time after its first packet within which a caller sends no copy of it, less
+/// the time that the packet and its acknowledgement take.
+inline constexpr duration sole_copy_period = std::chrono::milliseconds{150};
+
 /// How much the caller's acknowledgement tells about where a flow is open.
 enum class opening_evidence : std::uint8_t
 {
@@ -29,11 +34,14 @@
 
 /// Returns the evidence of a packet with an opening token, the first one of the
 /// flow here after its first packet.
-[[nodiscard]] inline opening_evidence evidence_of(placed_flow const& flow,
-                                                  caller_packet const& packet)
+[[nodiscard]] inline opening_evidence
+evidence_of(placed_flow const& flow, caller_packet const& packet, instant now)
 {
     auto const is_acknowledgement = packet.sequence - flow.first_sequence <= 1;
-    if (!is_acknowledgement || !flow.has_attempted(server_id_in(packet.token)))
+    auto const is_sole_copy =
+        !flow.has_copies && now.steady - flow.arrived_after < sole_copy_period;
+    if (!is_acknowledgement || !is_sole_copy ||
+        !flow.has_attempted(server_id_in(packet.token)))
     {
         return opening_evidence::contested;
     }
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -90,7 +90,7 @@
     }
     if (!bound_server && !is_settled(packet.token))
     {
-        switch (evidence_of(flow, packet))
+        switch (evidence_of(flow, packet, now))
         {
         case opening_evidence::sole_server:
             break;
@@ -106,7 +106,7 @@
             bind_flow(packet,
                       *entry,
                       binding_basis::token,
-                      "opened through another forwarder",
+                      "first packet copied or late",
                       now,
                       out);
             flow.awaits_binding = hold_until_confirmed(packet, now, out);
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -80,8 +80,10 @@
         }
         auto& processed = processed_packets_.emplace_back(std::move(waiting));
         processed.packet.bytes = processed.bytes;
+        waiting_since_ = processed.arrived;
         on_packet(caller_packet{processed.packet}, now, out);
     }
+    waiting_since_.reset();
 }
 
 void forwarder::on_packet(caller_packet const& packet,
@@ -130,11 +132,13 @@
         flow = &flows_.add(packet.flow, now.steady + opening_timeout);
         flow->first_sequence = packet.sequence;
         flow->first_seen = now.steady;
+        flow->arrived_after = earliest_arrival(now);
         flow->request_timeout = flow_route->timeout;
         flow->target_latency = flow_route->target_latency;
         flow->first_packet.assign(packet.bytes.begin(), packet.bytes.end());
     }
     flow->last_seen = now.steady;
+    flow->has_copies |= !is_new || packet.acknowledgement > 0;
     if (flow->opened)
     {
         if (auto const* const server = directory_.find_server(flow->server))
--- a/testing/forwarding/openings_test.cpp
+++ b/testing/forwarding/openings_test.cpp
@@ -28,6 +28,28 @@
         return forwarded ? forwarded->server_number : 0;
     }
 
+    /// Opens a flow through forwarder 1, by a copy of its first packet, while
+    /// forwarder 0 stands still with the first one and places it on waking.
+    /// Returns the copy and the late first packet.
+    std::pair<forward_packet, forward_packet> open_while_frozen(std::uint16_t port)
+    {
+        group.freeze(0);
+        group.send(0, forwarder_group::first_packet(port));
+        group.advance(200ms);
+        // Other flows make the forwarders choose different servers.
+        group.send(1, forwarder_group::first_packet(1000 + port));
+        group.send(1, forwarder_group::first_packet(2000 + port));
+        auto const copy = *group.send(1, forwarder_group::first_packet(port, 1));
+        group.send(1, forwarder_group::acknowledgement(port, copy.token));
+        group.advance(300ms);
+        auto const forwarded_before = group.forwarded().size();
+        group.wake(0);
+        CHECK(group.forwarded().size() > forwarded_before);
+        auto const late = group.forwarded()[forwarded_before];
+        group.advance(10ms);
+        return {copy, late};
+    }
+
     /// Restarts forwarders in turn, `pause` apart.
     void restart_in_turn(std::initializer_list<std::size_t> indexes, duration pause)
     {
@@ -136,6 +158,65 @@
     }
 }
 
+/// review/3: a forwarder stood still with a flow's first packet, while another
+/// one placed a copy of it. On waking it placed the first packet at another
+/// server, whose handshake replaced the caller's token.
+TEST(openings, first_packet_held_in_a_frozen_forwarder_does_not_move_a_flow)
+{
+    std::size_t late_handshakes = 0;
+    for (std::uint16_t port = 1; port <= 10; ++port)
+    {
+        auto const [copy, late] = open_while_frozen(port);
+        late_handshakes += late.server_number != copy.server_number ? 1U : 0U;
+        group.advance(caller_pause);
+        restart_in_turn({1}, caller_pause);
+        for (std::size_t index = 0; index < 5; ++index)
+        {
+            CHECK_EQUAL(copy.server_number,
+                        server_reached(
+                            index, forwarder_group::request(port, late.token)));
+        }
+    }
+    CHECK(late_handshakes > 0);
+}
+
+/// The same, but the caller's first request goes again through the forwarder
+/// that was frozen, before the caller received any response.
+TEST(openings, forwarder_that_was_frozen_does_not_claim_an_open_flow)
+{
+    std::size_t late_handshakes = 0;
+    for (std::uint16_t port = 1; port <= 10; ++port)
+    {
+        auto const [copy, late] = open_while_frozen(port);
+        late_handshakes += late.server_number != copy.server_number ? 1U : 0U;
+        CHECK_EQUAL(copy.server_number,
+                    server_reached(
+                        0, forwarder_group::acknowledgement(port, late.token)));
+    }
+    CHECK(late_handshakes > 0);
+}
+
+/// A forwarder made attempts of its own, while the flow opened by a copy of its
+/// first packet through another one.
+TEST(openings, attempts_of_a_forwarder_do_not_win_over_an_open_flow)
+{
+    std::size_t late_handshakes = 0;
+    for (std::uint16_t port = 1; port <= 10; ++port)
+    {
+        auto const first = *group.send(0, forwarder_group::first_packet(port));
+        group.advance(200ms);
+        auto const copy =
+            *group.send(1, forwarder_group::first_packet(port, 1));
+        group.send(1, forwarder_group::acknowledgement(port, copy.token));
+        late_handshakes += first.server_number != copy.server_number ? 1U : 0U;
+        CHECK_EQUAL(
+            copy.server_number,
+            server_reached(
+                0, forwarder_group::acknowledgement(port, first.token)));
+    }
+    CHECK(late_handshakes > 0);
+}
+
 /// review/1: the first server was full, the flow opened at the second one, and
 /// routers moved it before the caller had received a response. Its token named
 /// the first server, which reset the flow.
@@ -168,6 +249,13 @@
 /// A flow that opens at the first attempt costs the other forwarders nothing.
 TEST(openings, flow_opened_at_the_first_attempt_is_not_shared)
 {
+    // Packets may have waited in the socket of a forwarder that was idle.
+    for (int i = 0; i < 4; ++i)
+    {
+        group.advance(50ms);
+        group.send(
+            0, forwarder_group::request(9, token_of(server_id_for_number(1))));
+    }
     auto const first = *group.send(0, forwarder_group::first_packet(1));
     group.send(0, forwarder_group::acknowledgement(1, first.token));
     group.advance(caller_pause);
