Tell a later flow of the same port from the one that a forwarder placed

What callers would see: a caller uses a port again, the new flow opens through another forwarder, and routers move it to the one that placed the earlier flow: that one sent the new flow's packets to the earlier flow's server, which resets them.

Cause: a placed flow was found by its key alone, and overruled the token.

Change: a packet belongs to a placed flow only if its sequence and acknowledgement numbers lie near those of the flow's last packet.

Test: port_used_again_through_another_forwarder, which fails without the change (and on the old code), and passes with it.

--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -34,6 +34,9 @@
     /// Sequence number of the first packet. A first packet with the same key
     /// and another sequence number starts a new flow.
     std::uint32_t first_sequence = 0;
+    /// Numbers of the caller's last packet.
+    std::uint32_t last_sequence = 0;
+    std::uint32_t last_acknowledgement = 0;
     steady_time first_seen;
     /// The flow's first packet can't have arrived before this time. It may have
     /// waited in the socket until it was seen.
@@ -83,6 +86,15 @@
         attempts = index + 1;
     }
 
+    /// False if a packet with this flow's key belongs to another one, for which
+    /// the caller used its port again through another forwarder.
+    [[nodiscard]] bool may_contain(caller_packet const& packet) const
+    {
+        return is_same_stream(packet.sequence, last_sequence) &&
+               (!opened ||
+                is_same_stream(packet.acknowledgement, last_acknowledgement));
+    }
+
     /// Whether an attempt was made at a server.
     [[nodiscard]] bool has_attempted(server_id candidate) const
     {
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -131,6 +131,7 @@
     {
         flow = &flows_.add(packet.flow, now.steady + opening_timeout);
         flow->first_sequence = packet.sequence;
+        flow->last_sequence = packet.sequence;
         flow->first_seen = now.steady;
         flow->arrived_after = earliest_arrival(now);
         flow->request_timeout = flow_route->timeout;
@@ -203,11 +204,12 @@
         return;
     }
     auto* const flow = flows_.find(packet.flow);
-    if (flow != nullptr)
+    if (flow != nullptr && flow->may_contain(packet))
     {
         on_placed_flow_packet(*flow, packet, now, out);
         return;
     }
+    flows_.remove(packet.flow);
     on_unplaced_flow_packet(packet, now, out);
 }
 
@@ -257,6 +259,8 @@
                                       forwarder_effects& out)
 {
     flow.last_seen = now.steady;
+    flow.last_sequence = packet.sequence;
+    flow.last_acknowledgement = packet.acknowledgement;
     if (!flow.opened && packet.token != route_token{} &&
         !open_flow(flow, packet, now, out))
     {
--- a/testing/forwarding/openings_neighbours_test.cpp
+++ b/testing/forwarding/openings_neighbours_test.cpp
@@ -44,6 +44,33 @@
 
 // clang-format on
 
+/// The caller used a port again. The forwarder of the earlier flow sent the
+/// packets of the later one to the earlier flow's server.
+TEST(opening_neighbours, port_used_again_through_another_forwarder)
+{
+    forwarder_group group{{"a", "a", "a"}, 4};
+    std::size_t moved_flows = 0;
+    for (std::uint16_t port = 1; port <= 20; ++port)
+    {
+        auto const earlier =
+            *group.send(0, forwarder_group::first_packet(port));
+        group.send(0, forwarder_group::acknowledgement(port, earlier.token));
+        auto const later =
+            *group.send(1, of_later_flow(forwarder_group::first_packet(port)));
+        group.send(
+            1,
+            of_later_flow(forwarder_group::acknowledgement(port, later.token)));
+        auto const moved =
+            group.send(0,
+                       of_later_flow(forwarder_group::request(
+                           port, token_of(server_id_in(later.token)))));
+        CHECK(moved.has_value());
+        CHECK_EQUAL(later.server_number, moved->server_number);
+        moved_flows += later.server_number != earlier.server_number ? 1U : 0U;
+    }
+    CHECK(moved_flows > 0);
+}
+
 /// A binding of the earlier flow does not bind a later one.
 TEST(opening_neighbours, binding_ends_with_its_flow)
 {
