Follow no token if the server of a placed flow left the directory

What callers would see: the entry of a flow's server is gone from a forwarder's directory, though the server lives. The flow's packets then followed the token that the caller held, to a server at which the flow was not open, which reset it.

Change: such a packet is dropped, as one with an unknown token is, and changes are requested; the caller sends it again.

Test: packet_goes_nowhere_if_its_server_left_the_directory, which fails without the change (and on the old code), and passes with it.

--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -294,7 +294,7 @@
     }
     if (server == nullptr)
     {
-        on_unplaced_flow_packet(packet, now, out);
+        drop_unrouted_packet(packet, now, out);
         return;
     }
     forward_later_packet(*server, packet, out);
--- a/testing/forwarding/openings_neighbours_test.cpp
+++ b/testing/forwarding/openings_neighbours_test.cpp
@@ -90,6 +90,24 @@
     }
 }
 
+/// The server of an open flow left the directory. Its packets then followed the
+/// token, to a server at which the flow is not open and which reset it.
+TEST(opening_neighbours, packet_goes_nowhere_if_its_server_left_the_directory)
+{
+    forwarder_group group{{"a", "a", "a"}, 2};
+    auto const [first, second] = open_at_second_server(group, 0, 1);
+    auto remaining =
+        make_server_record(static_cast<std::uint32_t>(first.server_number), 10);
+    group.set_servers({remaining});
+    // Past the time for which servers that are gone can be looked up.
+    for (int i = 0; i < 75; ++i)
+    {
+        group.advance(1s);
+        group.send(0, forwarder_group::request(1, second.token));
+    }
+    CHECK(!group.send(0, forwarder_group::request(1, first.token)).has_value());
+}
+
 /// All forwarders of a data centre are gone, and routers use those of another
 /// one.
 TEST(opening_neighbours, flow_moves_to_another_data_centre)
