Open no flow at an own attempt if its token names an unknown server

What callers would see: routers moved a flow while it opened, and it opened through another forwarder at a server that this forwarder's directory doesn't list yet. The packets went to the server of its own attempt, which reset the flow.

Change: the packet is dropped and changes are requested; the caller sends it again.

Test: token_of_an_unknown_server_is_not_replaced, which fails without the change (and on the old code), and passes with it.

--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -85,8 +85,8 @@
     auto const* const entry = directory_.find_server(server);
     if (entry == nullptr)
     {
-        mark_opened(flow, flow.server, now, out);
-        return true;
+        drop_unrouted_packet(packet, now, out);
+        return false;
     }
     if (!bound_server && !is_settled(packet.token))
     {
--- a/testing/forwarding/openings_neighbours_test.cpp
+++ b/testing/forwarding/openings_neighbours_test.cpp
@@ -108,6 +108,17 @@
     CHECK(!group.send(0, forwarder_group::request(1, first.token)).has_value());
 }
 
+/// A flow opened through another forwarder, at a server that this one does not
+/// know. It sent the packets to the server of its own attempt.
+TEST(opening_neighbours, token_of_an_unknown_server_is_not_replaced)
+{
+    forwarder_group group{{"a"}, 2};
+    group.send(0, forwarder_group::first_packet(1));
+    auto const unknown = opening_token_of(server_id_for_number(77));
+    CHECK(!group.send(0, forwarder_group::acknowledgement(1, unknown))
+               .has_value());
+}
+
 /// All forwarders of a data centre are gone, and routers use those of another
 /// one.
 TEST(opening_neighbours, flow_moves_to_another_data_centre)
