Let one odd entry of a store neither end nor stop a reader

Report of other operators: one odd entry among those of the servers, nested deeply, with a number too large or a port out of range; the machines that read the list ended, or stopped following it. Looked for at every reader of a store.

Now exit 2 with the file named. - A balancer discarded the whole VM list for one odd entry, so that it no longer followed it. Now the entry is skipped, and the list counts as partial: no VM is missing from it, since the odd entry may stand for one that exists and takeovers rest on what is missing.

--- a/dotterelrouter/balancer/balancer.hpp
+++ b/dotterelrouter/balancer/balancer.hpp
@@ -23,6 +23,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 
 namespace dotterelrouter
@@ -192,6 +193,11 @@
     /// out.
     void finish_shutdown_if_ready(instant now, effects& out);
     void update_platform_reachability(bool is_reachable, effects& out);
+    /// Records that entries of `source` could not be read, if their number has
+    /// changed since the last read of it. `source` is a string literal.
+    void report_unreadable_entries(std::string_view source,
+                                   std::uint32_t count,
+                                   effects& out);
     /// Emits `set_timer` if a wake-up is due before the timer that is set.
     void set_next_timer(instant now, effects& out);
     /// The earliest time at which a library needs a timer event.
@@ -219,6 +225,8 @@
     /// The effect `exit_process` has been emitted.
     bool shutdown_finished_ = false;
     bool is_platform_reachable_ = false;
+    /// Number of unreadable entries of the last read of each source.
+    std::map<std::string_view, std::uint32_t> unreadable_entries_{};
 };
 
 extern template class basic_balancer<balancer_rules>;
--- a/dotterelrouter/balancer/internal/balancer_impl.hpp
+++ b/dotterelrouter/balancer/internal/balancer_impl.hpp
@@ -78,6 +78,8 @@
                                      effects& out)
 {
     update_platform_reachability(true, out);
+    report_unreadable_entries(
+        "assignments", next_event.unreadable_entries, out);
     ownership_.on_assignments(next_event, now, out);
     contact_unknown_owners(out);
     propagate_changes(now, out);
@@ -121,7 +123,13 @@
                                      effects& out)
 {
     update_platform_reachability(true, out);
-    membership_.on_vm_list(next_event.vms, now, out);
+    report_unreadable_entries("VM list", next_event.unreadable_entries, out);
+    membership_.on_vm_list(next_event.vms,
+                           next_event.unreadable_entries == 0
+                               ? vm_list_coverage::complete
+                               : vm_list_coverage::partial,
+                           now,
+                           out);
     auto const own_record = std::ranges::find(
         next_event.vms, settings_.self.id.control, &vm_record::control);
     if (own_record != next_event.vms.end() && own_record->draining)
@@ -414,6 +422,18 @@
     }
 }
 
+template <class Rules>
+void basic_balancer<Rules>::report_unreadable_entries(std::string_view source,
+                                                      std::uint32_t count,
+                                                      effects& out)
+{
+    if (std::exchange(unreadable_entries_[source], count) != count)
+    {
+        out.emplace_back(record_timeline_event{
+            timeline_event::entries_unreadable, count, 0, source});
+    }
+}
+
 template <class Rules>
 void basic_balancer<Rules>::update_platform_reachability(bool is_reachable,
                                                          effects& out)
--- a/dotterelrouter/command/command_test.cpp
+++ b/dotterelrouter/command/command_test.cpp
@@ -109,6 +109,15 @@
 TEST(inventory, rules_errors_name_the_field)
 {
     auto const register_text = register_text_with(2);
+    STRCMP_EQUAL(
+        "r.json:1: JSON: a number is out of range",
+        input_error_message(register_text, R"({"kinds": [{"urgency": 1e400}]})")
+            .c_str());
+    STRCMP_EQUAL("r.json:1: JSON: nested too deeply",
+                 input_error_message(register_text,
+                                     "{\"kinds\": " + std::string(700000, '[') +
+                                         std::string(700000, ']') + "}")
+                     .c_str());
     STRCMP_EQUAL(
         "r.json:2: JSON: syntax error",
         input_error_message(register_text, "{\n\"kinds\": ]}").c_str());
--- a/dotterelrouter/command/inventory.cpp
+++ b/dotterelrouter/command/inventory.cpp
@@ -1,5 +1,6 @@
 #include "dotterelrouter/command/internal/inventory.hpp"
 
+#include "dotterelrouter/json/json.hpp"
 #include "dotterelrouter/store_client/store_client.hpp"
 
 #include <nlohmann/json.hpp>
@@ -347,6 +348,10 @@
 
 json parse_rules(input_file file)
 {
+    if (is_nested_too_deeply(file.content))
+    {
+        throw_line_error(file.name, 1, "JSON", "nested too deeply");
+    }
     try
     {
         return json::parse(file.content);
@@ -363,6 +368,10 @@
                          "JSON",
                          "syntax error");
     }
+    catch (json::out_of_range const&)
+    {
+        throw_line_error(file.name, 1, "JSON", "a number is out of range");
+    }
 }
 
 void add_kinds(configuration_builder& builder,
--- a/dotterelrouter/core/internal/effects.hpp
+++ b/dotterelrouter/core/internal/effects.hpp
@@ -123,6 +123,7 @@
     clock_stepped,
     platform_lost,
     platform_restored,
+    entries_unreadable,
     shutdown_started,
     shutdown_finished,
     invariant_broken,
--- a/dotterelrouter/core/internal/events.hpp
+++ b/dotterelrouter/core/internal/events.hpp
@@ -40,6 +40,7 @@
     std::span<stored_assignment const> assignments;
     bool complete = false;
     std::uint64_t era = 0; ///< That of the service's revisions; see there.
+    std::uint32_t unreadable_entries = 0; ///< Skipped: they hold no assignment.
 };
 
 /// Result of a write to the key-value service.
@@ -89,6 +90,8 @@
 struct vm_list_read
 {
     std::span<vm_record const> vms;
+    /// Entries that describe no VM. They may stand for VMs that exist.
+    std::uint32_t unreadable_entries = 0;
 };
 
 /// Types of read calls to the platform.
--- a/dotterelrouter/membership/membership.cpp
+++ b/dotterelrouter/membership/membership.cpp
@@ -72,6 +72,7 @@
 }
 
 void membership::on_vm_list(std::span<vm_record const> vms,
+                            vm_list_coverage coverage,
                             instant now,
                             effects& /*out*/)
 {
@@ -87,6 +88,13 @@
         last_vm_list_at_ = std::max(last_vm_list_at_, vm_list_requested_at_);
         vm_list_pending_ = false;
     }
+    if (coverage == vm_list_coverage::partial)
+    {
+        for (auto& entry : listed_vms_)
+        {
+            entry.last_listed_at = last_vm_list_at_;
+        }
+    }
     for (auto const& vm : vms)
     {
         auto const [position, inserted] =
--- a/dotterelrouter/membership/membership.hpp
+++ b/dotterelrouter/membership/membership.hpp
@@ -3,7 +3,8 @@
 // probes, indirect probes and suspicion, whose updates spread by gossip.
 //
 //     membership members{self, {}, seed};
-//     members.on_vm_list(vms, now, out);     // where to send discovery pings
+//     // The VM list tells where to send discovery pings.
+//     members.on_vm_list(vms, vm_list_coverage::complete, now, out);
 //     members.on_message(sender, ping, now, out); // likewise pong, ...
 //     if (now.steady >= members.next_timer_at())
 //     {
@@ -35,6 +36,13 @@
 namespace dotterelrouter
 {
 
+/// Whether a VM list names all VMs.
+enum class vm_list_coverage : std::uint8_t
+{
+    complete,
+    partial, ///< Some of its entries could not be read.
+};
+
 /// Timing and limits of the failure detector.
 struct membership_settings
 {
@@ -96,7 +104,11 @@
     /// Takes in the platform's VM list. The list says where to send discovery
     /// pings, and it is the only evidence for `gone` besides a newer
     /// incarnation. Its age counts from the request, not from the response.
-    void on_vm_list(std::span<vm_record const> vms, instant now, effects& out);
+    /// After a partial list, no VM counts as missing from it.
+    void on_vm_list(std::span<vm_record const> vms,
+                    vm_list_coverage coverage,
+                    instant now,
+                    effects& out);
 
     /// Pings a member of which only the id is known, so that its answer
     /// introduces it. Does nothing if the member is known.
--- a/dotterelrouter/membership/membership_test.cpp
+++ b/dotterelrouter/membership/membership_test.cpp
@@ -131,7 +131,7 @@
             vms.push_back({vm.id.control, vm.data, vm.data_centre, false});
         }
         effects out;
-        nodes[i].member->on_vm_list(vms, instant_at(now), out);
+        nodes[i].member->on_vm_list(vms, list_coverage, instant_at(now), out);
         execute(i, out);
     }
 
@@ -187,6 +187,7 @@
     membership_settings settings;
     std::vector<node> nodes;
     std::set<std::uint32_t> listed_vms;
+    vm_list_coverage list_coverage = vm_list_coverage::complete;
     std::set<std::pair<std::uint32_t, std::uint32_t>> blocked_links;
     std::vector<in_flight_message> in_flight;
     std::vector<timeline_event> timeline_events;
@@ -330,6 +331,24 @@
         fleet[0].is_confirmed_gone(stopped, instant_at(fleet.now).steady));
 }
 
+/// An entry that can't be read may be that of a VM which exists: the VM list is
+/// the evidence on which another member takes over its slots.
+TEST(membership, stopped_member_is_not_gone_by_a_partial_list)
+{
+    simulated_fleet fleet{4};
+    fleet.run_for(10s);
+    auto const stopped = make_record(3).id;
+    auto const known_since = instant_at(0s).steady;
+    fleet.nodes[3].member.reset();
+    fleet.listed_vms.erase(3);
+    fleet.list_coverage = vm_list_coverage::partial;
+    fleet.run_for(300s);
+    CHECK_FALSE(fleet[0].is_confirmed_gone(stopped, known_since));
+    fleet.list_coverage = vm_list_coverage::complete;
+    fleet.run_for(100s);
+    CHECK_TRUE(fleet[0].is_confirmed_gone(stopped, known_since));
+}
+
 TEST(membership, live_member_missing_from_the_vm_list_is_not_gone)
 {
     simulated_fleet fleet{4};
@@ -346,7 +365,7 @@
     membership member{make_record(1), {}, 1};
     effects out;
     member.on_timer(instant_at(0s), out);
-    member.on_vm_list({}, instant_at(300s), out);
+    member.on_vm_list({}, vm_list_coverage::complete, instant_at(300s), out);
     CHECK_FALSE(
         member.is_confirmed_gone(make_record(2).id, instant_at(10s).steady));
 }
--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -385,21 +385,22 @@
     static void on_snapshot_response(void* self, http_response const& response)
     {
         static_cast<forwarder_process*>(self)->on_store_response(
-            Platform::parse_snapshot_response(response));
+            response, &Platform::parse_snapshot_response);
     }
 
     static void on_watch_response(void* self, http_response const& response)
     {
         static_cast<forwarder_process*>(self)->on_store_response(
-            Platform::parse_watch_response(response));
+            response, &Platform::parse_watch_response);
     }
 
-    void on_store_response(forwarder_event const& next_event)
+    void on_store_response(http_response const& response,
+                           forwarder_event (*parse)(http_response const&))
     {
         loop_.guard(
             [&]
             {
-                deliver(next_event);
+                deliver(parse(response));
             });
     }
 
--- a/dotterelrouter/store_client/internal/store_protocol.hpp
+++ b/dotterelrouter/store_client/internal/store_protocol.hpp
@@ -75,9 +75,17 @@
     bool is_draining = false; ///< JSON member "leaving".
 };
 
+/// The platform's list of VMs.
+struct vm_list
+{
+    std::vector<listed_vm> vms;
+    std::uint32_t unreadable_entries = 0; ///< Entries that describe no VM.
+};
+
 /// Encodes a list of VMs as JSON.
 std::string encode_vm_list(std::span<listed_vm const> vms);
-/// Parses a JSON list of VMs; returns nothing if it is malformed.
-std::optional<std::vector<listed_vm>> parse_vm_list(byte_view body);
+/// Parses a JSON list of VMs; returns nothing if it is not a list. An entry
+/// that describes no VM hides no other one.
+std::optional<vm_list> parse_vm_list(byte_view body);
 
 } // namespace dotterelrouter
--- a/dotterelrouter/store_client/platform_calls.cpp
+++ b/dotterelrouter/store_client/platform_calls.cpp
@@ -233,7 +233,10 @@
         last_assignments_revision = parse_revision(response);
         auto const era = last_assignments_revision.era;
         auto const assignments = decode_assignments(*entries, era);
-        deliver(assignments_read{assignments, response.complete, era});
+        auto const unreadable_entries =
+            static_cast<std::uint32_t>(entries->size() - assignments.size());
+        deliver(assignments_read{
+            assignments, response.complete, era, unreadable_entries});
     }
 
     void on_proposal_response(operation& current, http_response const& response)
@@ -335,16 +338,16 @@
     void on_vm_list_response(operation& current, http_response const& response)
     {
         remove_operation(current);
-        auto const vms = has_status(response, status_ok)
-                             ? parse_vm_list(response.body)
-                             : std::nullopt;
-        if (!vms)
+        auto const list = has_status(response, status_ok)
+                              ? parse_vm_list(response.body)
+                              : std::nullopt;
+        if (!list)
         {
             deliver_unavailable(platform_read::vm_list);
             return;
         }
         std::vector<vm_record> records;
-        for (auto const& vm : *vms)
+        for (auto const& vm : list->vms)
         {
             records.push_back(
                 {.control = {vm.ip, settings.control_port},
@@ -352,7 +355,7 @@
                  .data_centre = data_centre_id{id_from_name(vm.data_centre)},
                  .draining = vm.is_draining});
         }
-        deliver(vm_list_read{records});
+        deliver(vm_list_read{records, list->unreadable_entries});
     }
 
     platform_settings settings;
--- a/dotterelrouter/store_client/store_protocol.cpp
+++ b/dotterelrouter/store_client/store_protocol.cpp
@@ -1,6 +1,7 @@
 #include "dotterelrouter/store_client/internal/store_protocol.hpp"
 
 #include "dotterelrouter/http/http.hpp"
+#include "dotterelrouter/json/json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -153,24 +154,24 @@
     return list.dump();
 }
 
-std::optional<std::vector<listed_vm>> parse_vm_list(byte_view body)
+std::optional<vm_list> parse_vm_list(byte_view body)
 {
-    auto const list = nlohmann::json::parse(as_text(body), nullptr, false);
+    auto const list = parse_json(as_text(body));
     if (!list.is_array())
     {
         return std::nullopt;
     }
-    std::vector<listed_vm> vms;
+    vm_list parsed;
     for (auto const& element : list)
     {
         auto const vm = parse_vm(element);
-        if (!vm)
+        if (vm)
         {
-            return std::nullopt;
+            parsed.vms.push_back(*vm);
         }
-        vms.push_back(*vm);
+        parsed.unreadable_entries += vm ? 0U : 1U;
     }
-    return vms;
+    return parsed;
 }
 
 } // namespace dotterelrouter
--- a/dotterelrouter/telemetry/names.cpp
+++ b/dotterelrouter/telemetry/names.cpp
@@ -49,6 +49,8 @@
         return "platform_lost";
     case timeline_event::platform_restored:
         return "platform_restored";
+    case timeline_event::entries_unreadable:
+        return "entries_unreadable";
     case timeline_event::shutdown_started:
         return "shutdown_started";
     case timeline_event::shutdown_finished:
