Bound the time that keepers of bindings take, and hold fewer packets

Cause: whenever a forwarder came or went, all bindings were checked at once, and each timer of an unconfirmed binding checked all unconfirmed ones, with quadratic cost while keepers were down. Packets waited behind it.

Change: each binding has its own due time; changes of the fleet are spread, 64 bindings in 10 ms. A flow whose acknowledgement comes within 150 ms of the last copy of its first packet is known to be open at the token's server, and is bound without holding its packets.

--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -14,6 +14,11 @@
 /// responded. It doubles up to the maximum.
 constexpr duration min_resend_delay = std::chrono::milliseconds{25};
 constexpr duration max_resend_delay = std::chrono::milliseconds{800};
+/// When forwarders come or go, the keepers of all bindings are checked, this
+/// many in each step, so that a large fleet that restarts has time for its
+/// packets.
+constexpr std::size_t max_checks_per_step = 64;
+constexpr duration check_step = std::chrono::milliseconds{10};
 /// Maximum number of bindings in a message, so that it fits into a datagram.
 constexpr std::size_t max_bindings_per_message = 24;
 /// Bytes that a flow transfers at most in its lifetime, in either direction.
@@ -57,16 +62,23 @@
         return;
     }
     forwarders_ = std::move(forwarders);
-    unconfirmed_.clear();
+    std::size_t scheduled = 0;
     for (auto& [flow, bound] : entries_)
     {
-        bound.awaits_keepers = true;
-        bound.next_send_at = now.steady;
-        bound.resend_delay = min_resend_delay;
-        unconfirmed_.push_back(flow);
+        auto const steps = scheduled++ / max_checks_per_step;
+        schedule_check(bound,
+                       now.steady + check_step * static_cast<int>(steps));
     }
-    next_send_at_ =
-        unconfirmed_.empty() ? std::nullopt : std::optional{now.steady};
+}
+
+void binding_table::schedule_check(entry& bound, steady_time at)
+{
+    if (bound.check_at && *bound.check_at <= at)
+    {
+        return;
+    }
+    bound.check_at = at;
+    checks_.push({at, bound.binding.flow});
 }
 
 std::optional<server_id> binding_table::find(caller_packet const& packet) const
@@ -97,14 +109,8 @@
                          now,
                          out);
     bound.is_settled = basis == binding_basis::seen_open;
-    bound.awaits_keepers = true;
-    bound.resend_delay = min_resend_delay;
     outgoing messages;
     send_to_keepers(bound, now, messages);
-    if (bound.awaits_keepers)
-    {
-        unconfirmed_.push_back(packet.flow);
-    }
     for (auto& [destination, bindings] : messages)
     {
         out.push_back(send_bindings{destination, {std::move(bindings)}});
@@ -114,13 +120,14 @@
 bool binding_table::is_awaiting_keepers(flow_key flow) const
 {
     auto const found = entries_.find(flow);
-    return found != entries_.end() && found->second.awaits_keepers;
+    return found != entries_.end() && !found->second.unconfirmed.empty();
 }
 
-bool binding_table::is_settled(flow_key flow) const
+bool binding_table::is_settled(caller_packet const& packet) const
 {
-    auto const found = entries_.find(flow);
-    return found == entries_.end() || found->second.is_settled;
+    auto const found = entries_.find(packet.flow);
+    return found == entries_.end() || found->second.is_settled ||
+           !belongs_to(packet, found->second.binding);
 }
 
 bool binding_table::is_unconfirmed(flow_key flow, instant now) const
@@ -131,7 +138,7 @@
         return false;
     }
     auto const& bound = found->second;
-    return bound.awaits_keepers && !bound.is_settled &&
+    return !bound.unconfirmed.empty() && !bound.is_settled &&
            now.steady - bound.bound_at < max_lookup_time;
 }
 
@@ -174,23 +181,17 @@
     while (remove_oldest(now.steady))
     {
     }
-    if (!next_send_at_ || now.steady < *next_send_at_)
+    outgoing messages;
+    while (!checks_.empty() && checks_.top().at <= now.steady)
     {
-        return;
+        auto const due = checks_.top();
+        checks_.pop();
+        auto const found = entries_.find(due.flow);
+        if (found != entries_.end() && found->second.check_at == due.at)
+        {
+            send_to_keepers(found->second, now, messages);
+        }
     }
-    next_send_at_.reset();
-    outgoing messages;
-    std::erase_if(unconfirmed_,
-                  [&](flow_key flow)
-                  {
-                      auto const found = entries_.find(flow);
-                      if (found == entries_.end())
-                      {
-                          return true;
-                      }
-                      send_to_keepers(found->second, now, messages);
-                      return !found->second.awaits_keepers;
-                  });
     for (auto& [destination, bindings] : messages)
     {
         for (std::size_t first = 0; first < bindings.size();
@@ -207,12 +208,14 @@
 
 std::optional<steady_time> binding_table::next_timer_at() const
 {
-    if (lifetime_ends_.empty())
-    {
-        return next_send_at_;
-    }
-    auto const end = lifetime_ends_.front().at;
-    return next_send_at_ ? std::min(*next_send_at_, end) : end;
+    auto const next_check =
+        checks_.empty() ? std::nullopt : std::optional{checks_.top().at};
+    auto const next_end = lifetime_ends_.empty()
+                              ? std::nullopt
+                              : std::optional{lifetime_ends_.front().at};
+    return next_check && next_end ? std::min(*next_check, *next_end)
+           : next_check           ? next_check
+                                  : next_end;
 }
 
 binding_table::entry& binding_table::insert(flow_binding const& binding,
@@ -272,12 +275,11 @@
     auto& bound = found->second;
     mark_informed(bound, from);
     bound.is_settled = true;
-    auto const lacks_binding = [&](peer_run const& keeper)
-    {
-        return std::ranges::count(bound.informed, keeper) == 0;
-    };
-    bound.awaits_keepers =
-        std::ranges::any_of(keeper_runs(held.flow), lacks_binding);
+    std::erase_if(bound.unconfirmed,
+                  [&](peer_run const& keeper)
+                  {
+                      return keeper.address == from;
+                  });
 }
 
 bool binding_table::replace_if_later(entry& bound,
@@ -294,12 +296,8 @@
     bound.bound_at = bound_at;
     // Keepers may hold the later binding.
     bound.informed.clear();
-    bound.awaits_keepers = true;
     bound.is_settled = true;
-    bound.next_send_at = now.steady;
-    bound.resend_delay = min_resend_delay;
-    unconfirmed_.push_back(other.flow);
-    next_send_at_ = now.steady;
+    schedule_check(bound, now.steady);
     return true;
 }
 
@@ -321,32 +319,25 @@
                                     instant now,
                                     outgoing& messages)
 {
-    bound.awaits_keepers = false;
-    auto const is_due = now.steady >= bound.next_send_at;
+    bound.check_at.reset();
+    bound.unconfirmed.clear();
     for (auto const& keeper : keeper_runs(bound.binding.flow))
     {
-        if (std::ranges::count(bound.informed, keeper) != 0)
-        {
-            continue;
-        }
-        bound.awaits_keepers = true;
-        if (is_due)
+        if (std::ranges::count(bound.informed, keeper) == 0)
         {
+            bound.unconfirmed.push_back(keeper);
             messages[keeper.address].push_back(
                 with_age(bound.binding, bound.bound_at, now));
         }
     }
-    if (!bound.awaits_keepers)
+    if (bound.unconfirmed.empty())
     {
+        bound.resend_delay = duration::zero();
         return;
     }
-    if (is_due)
-    {
-        bound.next_send_at = now.steady + bound.resend_delay;
-        bound.resend_delay = std::min(2 * bound.resend_delay, max_resend_delay);
-    }
-    next_send_at_ = next_send_at_ ? std::min(*next_send_at_, bound.next_send_at)
-                                  : bound.next_send_at;
+    bound.resend_delay =
+        std::clamp(2 * bound.resend_delay, min_resend_delay, max_resend_delay);
+    schedule_check(bound, now.steady + bound.resend_delay);
 }
 
 std::vector<binding_table::peer_run>
--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -7,8 +7,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
+#include <queue>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -56,7 +58,7 @@
     }
 
     /// Sets the other forwarders that are live. Bindings are sent to those that
-    /// are keepers now and were not before.
+    /// are keepers now and were not before, when on_timer is due next.
     void set_forwarders(std::vector<live_forwarder> forwarders, instant now);
 
     /// Returns the server to which the flow of a packet is bound, if it is. A
@@ -74,9 +76,9 @@
 
     /// True while a keeper has not responded to the binding of this flow.
     [[nodiscard]] bool is_awaiting_keepers(flow_key flow) const;
-    /// False if the flow is bound by a token only, and no other forwarder has
-    /// confirmed that. True if the flow is not bound.
-    [[nodiscard]] bool is_settled(flow_key flow) const;
+    /// False if the flow of a packet is bound by a token only, and no other
+    /// forwarder has confirmed that. True if the flow is not bound.
+    [[nodiscard]] bool is_settled(caller_packet const& packet) const;
 
     /// True while keepers that should have responded leave open whether the
     /// flow was bound before; false from `max_lookup_time` after it was bound.
@@ -119,12 +121,28 @@
         std::uint64_t insertion = 0; ///< Number of the insertion.
         /// Forwarders that hold the binding or are sent it by another one.
         std::vector<peer_run> informed;
-        bool awaits_keepers = false;
+        /// Keepers that were sent the binding and have not responded.
+        std::vector<peer_run> unconfirmed;
         bool is_settled = false; ///< See is_settled().
-        steady_time next_send_at;
+        /// When its keepers are checked next; empty if they all responded.
+        std::optional<steady_time> check_at;
         duration resend_delay{};
     };
 
+    /// Time at which the keepers of a binding are checked, if it is still that
+    /// of the entry.
+    struct keeper_check
+    {
+        steady_time at;
+        flow_key flow;
+
+        friend bool operator>(keeper_check const& left,
+                              keeper_check const& right)
+        {
+            return left.at > right.at;
+        }
+    };
+
     /// Bindings to send, by destination.
     using outgoing = std::map<endpoint, std::vector<flow_binding>>;
 
@@ -149,9 +167,11 @@
     /// another server. Returns whether it did.
     bool replace_if_later(entry& bound, flow_binding const& other, instant now);
     void mark_informed(entry& bound, endpoint address);
-    /// Collects what a binding's keepers lack; clears `awaits_keepers` if that
-    /// is nothing.
+    /// Collects what a binding's keepers lack, and schedules the next check
+    /// unless that is nothing.
     void send_to_keepers(entry& bound, instant now, outgoing& messages);
+    /// Schedules a check, unless an earlier one is scheduled.
+    void schedule_check(entry& bound, steady_time at);
     [[nodiscard]] std::vector<peer_run> keeper_runs(flow_key flow) const;
     [[nodiscard]] std::optional<std::uint64_t>
     incarnation_of(endpoint address) const;
@@ -162,10 +182,9 @@
     binding_table_settings settings_;
     std::vector<live_forwarder> forwarders_{};
     std::unordered_map<flow_key, entry> entries_{};
-    /// Flows whose bindings are sent to keepers; may hold flows that are gone.
-    std::vector<flow_key> unconfirmed_{};
+    std::priority_queue<keeper_check, std::vector<keeper_check>, std::greater<>>
+        checks_{};
     std::deque<lifetime_end> lifetime_ends_{}; ///< In the order of insertion.
-    std::optional<steady_time> next_send_at_{};
     std::uint64_t insertions_ = 0;
 };
 
--- a/dotterelrouter/bindings/keepers.cpp
+++ b/dotterelrouter/bindings/keepers.cpp
@@ -20,6 +20,24 @@
     return mix(hash_of(flow) ^ mix(hash_of(candidate.heartbeat_endpoint)));
 }
 
+/// Adds a candidate to at most `max_count` keepers if it ranks high enough.
+void add_if_highest(std::vector<ranked_keeper>& keepers,
+                    ranked_keeper const& candidate,
+                    std::size_t max_count)
+{
+    if (keepers.size() < max_count)
+    {
+        keepers.push_back(candidate);
+        return;
+    }
+    auto const lowest =
+        std::ranges::min_element(keepers, {}, &ranked_keeper::rank);
+    if (lowest->rank < candidate.rank)
+    {
+        *lowest = candidate;
+    }
+}
+
 } // namespace
 
 std::vector<live_forwarder>
@@ -27,39 +45,24 @@
            std::span<live_forwarder const> candidates,
            data_centre_id own_data_centre)
 {
-    std::vector<ranked_keeper> chosen;
+    std::vector<ranked_keeper> own;
+    std::vector<ranked_keeper> remote;
     for (auto const& candidate : candidates)
     {
         ranked_keeper const next{rank_of(flow, candidate), candidate};
-        auto const is_rival = [&](ranked_keeper const& other)
-        {
-            return other.forwarder.data_centre == candidate.data_centre;
-        };
-        auto const max_count =
-            candidate.data_centre == own_data_centre ? own_keeper_count : 1;
-        if (static_cast<std::size_t>(std::ranges::count_if(chosen, is_rival)) <
-            max_count)
-        {
-            chosen.push_back(next);
-            continue;
-        }
-        auto lowest = chosen.end();
-        for (auto it = chosen.begin(); it != chosen.end(); ++it)
+        if (candidate.data_centre == own_data_centre)
         {
-            if (is_rival(*it) &&
-                (lowest == chosen.end() || it->rank < lowest->rank))
-            {
-                lowest = it;
-            }
+            add_if_highest(own, next, own_keeper_count);
         }
-        if (lowest->rank < next.rank)
+        else
         {
-            *lowest = next;
+            add_if_highest(remote, next, remote_keeper_count);
         }
     }
+    own.insert(own.end(), remote.begin(), remote.end());
     std::vector<live_forwarder> keepers;
-    keepers.reserve(chosen.size());
-    for (auto const& keeper : chosen)
+    keepers.reserve(own.size());
+    for (auto const& keeper : own)
     {
         keepers.push_back(keeper.forwarder);
     }
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -117,6 +117,9 @@
     void on_first_packet(caller_packet const& packet,
                          instant now,
                          forwarder_effects& out);
+    /// Adds the flow that a first packet begins to the flow table.
+    internal::placed_flow&
+    add_flow(caller_packet const& packet, route const& flow_route, instant now);
     void on_later_packet(caller_packet const& packet,
                          instant now,
                          forwarder_effects& out);
--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -38,8 +38,8 @@
     std::uint32_t last_sequence = 0;
     std::uint32_t last_acknowledgement = 0;
     steady_time first_seen;
-    /// The flow's first packet can't have arrived before this time. It may have
-    /// waited in the socket until it was seen.
+    /// The last copy of the first packet can't have arrived before this time.
+    /// It may have waited in the socket until it was seen.
     steady_time arrived_after;
     steady_time last_attempt; ///< When the last attempt was made.
     steady_time last_seen;    ///< When the caller's last packet arrived.
--- a/dotterelrouter/forwarder/internal/opening.hpp
+++ b/dotterelrouter/forwarder/internal/opening.hpp
@@ -14,21 +14,22 @@
 namespace dotterelrouter::internal
 {
 
-/// Time after its first packet within which a caller sends no copy of it, less
-/// the time that the packet and its acknowledgement take.
-inline constexpr duration sole_copy_period = std::chrono::milliseconds{150};
+/// Time after a copy of its first packet within which a caller's packets can't
+/// carry the token of a late handshake: it has sent no request again yet. Less
+/// than a caller's first retransmission interval by the time for two trips.
+inline constexpr duration first_response_period =
+    std::chrono::milliseconds{150};
 
 /// How much the caller's acknowledgement tells about where a flow is open.
 enum class opening_evidence : std::uint8_t
 {
     /// Only the server that the token names has received the first packet.
     sole_server,
-    /// Only this forwarder has sent the first packet, but to several servers.
-    /// The flow is open at the one that the token names, and others may send
-    /// the caller a handshake later.
-    sole_forwarder,
-    /// Another forwarder may have sent a copy of the first packet to another
-    /// server, so that the token may be that of a late handshake.
+    /// The flow is open at the server that the token names. Others have
+    /// received the first packet as well, and may send the caller a handshake
+    /// later.
+    one_of_several,
+    /// The token may be that of a late handshake of another server.
     contested,
 };
 
@@ -38,15 +39,16 @@
 evidence_of(placed_flow const& flow, caller_packet const& packet, instant now)
 {
     auto const is_acknowledgement = packet.sequence - flow.first_sequence <= 1;
-    auto const is_sole_copy =
-        !flow.has_copies && now.steady - flow.arrived_after < sole_copy_period;
-    if (!is_acknowledgement || !is_sole_copy ||
+    auto const is_first_response =
+        now.steady - flow.arrived_after < first_response_period;
+    if (!is_acknowledgement || !is_first_response ||
         !flow.has_attempted(server_id_in(packet.token)))
     {
         return opening_evidence::contested;
     }
-    return flow.attempts == 1 ? opening_evidence::sole_server
-                              : opening_evidence::sole_forwarder;
+    return flow.attempts == 1 && !flow.has_copies
+               ? opening_evidence::sole_server
+               : opening_evidence::one_of_several;
 }
 
 } // namespace dotterelrouter::internal
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -20,7 +20,7 @@
 {
     // A settled token was written by a forwarder that knew where the flow is.
     auto const is_overruled =
-        is_settled(packet.token) && !bindings_.is_settled(packet.flow);
+        is_settled(packet.token) && !bindings_.is_settled(packet);
     if (!is_overruled && bindings_.find(packet))
     {
         if (!hold_if_unconfirmed(packet, now, out))
@@ -94,11 +94,11 @@
         {
         case opening_evidence::sole_server:
             break;
-        case opening_evidence::sole_forwarder:
+        case opening_evidence::one_of_several:
             bind_flow(packet,
                       *entry,
                       binding_basis::seen_open,
-                      "several servers tried",
+                      "several servers have its first packet",
                       now,
                       out);
             break;
@@ -106,7 +106,7 @@
             bind_flow(packet,
                       *entry,
                       binding_basis::token,
-                      "first packet copied or late",
+                      "first packet or acknowledgement late",
                       now,
                       out);
             flow.awaits_binding = hold_until_confirmed(packet, now, out);
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -129,17 +129,11 @@
     }
     if (is_new)
     {
-        flow = &flows_.add(packet.flow, now.steady + opening_timeout);
-        flow->first_sequence = packet.sequence;
-        flow->last_sequence = packet.sequence;
-        flow->first_seen = now.steady;
-        flow->arrived_after = earliest_arrival(now);
-        flow->request_timeout = flow_route->timeout;
-        flow->target_latency = flow_route->target_latency;
-        flow->first_packet.assign(packet.bytes.begin(), packet.bytes.end());
+        flow = &add_flow(packet, *flow_route, now);
     }
     flow->last_seen = now.steady;
     flow->has_copies |= !is_new || packet.acknowledgement > 0;
+    flow->arrived_after = earliest_arrival(now);
     if (flow->opened)
     {
         if (auto const* const server = directory_.find_server(flow->server))
@@ -166,6 +160,19 @@
     }
 }
 
+placed_flow& forwarder::add_flow(caller_packet const& packet,
+                                 route const& flow_route,
+                                 instant now)
+{
+    auto& flow = flows_.add(packet.flow, now.steady + opening_timeout);
+    flow.first_sequence = packet.sequence;
+    flow.last_sequence = packet.sequence;
+    flow.first_seen = now.steady;
+    flow.request_timeout = flow_route.timeout;
+    flow.target_latency = flow_route.target_latency;
+    return flow;
+}
+
 bool forwarder::is_resuming_from_long_pause(instant now) const
 {
     return last_pause_ >= min_long_pause &&
@@ -310,7 +317,7 @@
         out.push_back(
             increment_forwarder_counter{forwarder_counter::packets_retargeted});
     }
-    auto const token = bindings_.is_settled(packet.flow)
+    auto const token = bindings_.is_settled(packet)
                            ? token_of(server.id)
                            : opening_token_of(server.id);
     forward_to(server, packet.bytes, token, out);
