--- a/testing/forwarding/fleet.cpp
+++ b/testing/forwarding/fleet.cpp
@@ -134,11 +134,7 @@
     }
     if (occurs_with(faults_.pause))
     {
-        auto& forwarder = forwarders_[random_forwarder()];
-        forwarder.paused_until =
-            now_.steady + min_pause + (random_() % pause_steps) * pause_step;
-        forwarder.in_rotation_until = now_.steady + rotation_delay;
-        forwarder.undisturbed_since = forwarder.paused_until;
+        pause_forwarder(random_forwarder());
     }
     if (now_.steady >= link_cuts_until_)
     {
@@ -171,6 +167,15 @@
     }
 }
 
+void forwarder_fleet_simulation::pause_forwarder(std::size_t index)
+{
+    auto& paused = forwarders_[index];
+    paused.paused_until =
+        now_.steady + min_pause + (random_() % pause_steps) * pause_step;
+    paused.in_rotation_until = now_.steady + rotation_delay;
+    paused.undisturbed_since = paused.paused_until;
+}
+
 void forwarder_fleet_simulation::begin_flows()
 {
     for (int index = 0; index < flows_per_step; ++index)
--- a/testing/forwarding/fleet.hpp
+++ b/testing/forwarding/fleet.hpp
@@ -175,6 +175,7 @@
     void start_forwarder(std::size_t index);
     void run_step();
     void inject_faults();
+    void pause_forwarder(std::size_t index);
     void change_store();
     void
     write_server(std::uint32_t number, server_state state, bool is_deleted);
