--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -19,8 +19,12 @@
 /// packets.
 constexpr std::size_t max_checks_per_step = 64;
 constexpr duration check_step = std::chrono::milliseconds{10};
-/// Maximum number of bindings in a message, so that it fits into a datagram.
+/// Maximum number of bindings in a message, and of bytes of the names in them,
+/// so that it fits into a datagram.
 constexpr std::size_t max_bindings_per_message = 24;
+constexpr std::size_t max_name_bytes_per_message = 384;
+/// Number of questions from which old ones are removed.
+constexpr std::size_t max_questions = 1024;
 /// Bytes that a flow transfers at most in its lifetime, in either direction.
 constexpr std::uint32_t max_flow_bytes = 1U << 24U;
 
@@ -39,7 +43,40 @@
            is_same_stream(first.acknowledgement, second.acknowledgement);
 }
 
-/// Adds a binding to the messages, with its age at this time.
+/// Returns how many of these bindings go into one message; at least one.
+std::size_t count_that_fit(std::span<flow_binding const> bindings)
+{
+    std::size_t count = 1;
+    auto name_bytes = bindings.front().server.size();
+    while (count < std::min(bindings.size(), max_bindings_per_message))
+    {
+        name_bytes += bindings[count].server.size();
+        if (name_bytes > max_name_bytes_per_message)
+        {
+            break;
+        }
+        ++count;
+    }
+    return count;
+}
+
+/// Sends bindings, in as many messages as it takes.
+void send_all(endpoint destination,
+              std::span<flow_binding const> bindings,
+              bool is_response,
+              forwarder_effects& out)
+{
+    while (!bindings.empty())
+    {
+        auto const part = bindings.first(count_that_fit(bindings));
+        out.push_back(send_bindings{destination,
+                                    {.bindings = {part.begin(), part.end()},
+                                     .is_response = is_response}});
+        bindings = bindings.subspan(part.size());
+    }
+}
+
+/// Returns a binding with its age at this time.
 flow_binding with_age(flow_binding binding, steady_time bound_at, instant now)
 {
     binding.age = std::max(duration::zero(), duration{now.steady - bound_at});
@@ -81,7 +118,8 @@
     checks_.push({at, bound.binding.flow});
 }
 
-std::optional<server_id> binding_table::find(caller_packet const& packet) const
+std::optional<std::string_view>
+binding_table::find(caller_packet const& packet) const
 {
     auto const found = entries_.find(packet.flow);
     if (found == entries_.end() || !belongs_to(packet, found->second.binding))
@@ -92,7 +130,7 @@
 }
 
 void binding_table::bind(caller_packet const& packet,
-                         server_id server,
+                         std::string_view server,
                          binding_basis basis,
                          instant now,
                          forwarder_effects& out)
@@ -104,23 +142,99 @@
     auto& bound = insert({.flow = packet.flow,
                           .sequence = packet.sequence,
                           .acknowledgement = packet.acknowledgement,
-                          .server = server},
+                          .server = std::string{server}},
                          now.steady,
                          now,
                          out);
     bound.is_settled = basis == binding_basis::seen_open;
+    send_new(bound, now, out);
+}
+
+void binding_table::bind(flow_binding const& binding,
+                         instant now,
+                         forwarder_effects& out)
+{
+    auto const found = entries_.find(binding.flow);
+    if (found != entries_.end() && is_same_flow(found->second.binding, binding))
+    {
+        return;
+    }
+    auto& bound = insert(binding, now.steady - binding.age, now, out);
+    bound.is_settled = true;
+    send_new(bound, now, out);
+}
+
+void binding_table::send_new(entry& bound, instant now, forwarder_effects& out)
+{
     outgoing messages;
     send_to_keepers(bound, now, messages);
-    for (auto& [destination, bindings] : messages)
+    for (auto const& [destination, bindings] : messages)
+    {
+        send_all(destination, bindings, false, out);
+    }
+}
+
+void binding_table::ask(caller_packet const& packet,
+                        instant now,
+                        forwarder_effects& out)
+{
+    remove_old_questions(now);
+    auto& asked = questions_[packet.flow];
+    asked = {.asked = {.flow = packet.flow,
+                       .sequence = packet.sequence,
+                       .acknowledgement = packet.acknowledgement},
+             .asked_at = now.steady};
+    for (auto const& keeper : keeper_runs(packet.flow))
     {
-        out.push_back(send_bindings{destination, {std::move(bindings)}});
+        asked.unanswered_keepers.push_back(keeper.address);
+    }
+    asked.unanswered = asked.unanswered_keepers;
+    for (auto const& other : forwarders_)
+    {
+        if (other.data_centre == settings_.data_centre &&
+            std::ranges::count(asked.unanswered, other.heartbeat_endpoint) == 0)
+        {
+            asked.unanswered.push_back(other.heartbeat_endpoint);
+        }
+    }
+    for (auto const destination : asked.unanswered)
+    {
+        out.push_back(send_bindings{destination, {{asked.asked}}});
     }
 }
 
+void binding_table::remove_old_questions(instant now)
+{
+    if (questions_.size() < max_questions)
+    {
+        return;
+    }
+    std::erase_if(questions_,
+                  [&](auto const& open)
+                  {
+                      return now.steady - open.second.asked_at >=
+                             max_lookup_time;
+                  });
+}
+
+std::optional<bool> binding_table::end_question(flow_key flow)
+{
+    auto const found = questions_.find(flow);
+    if (found == questions_.end())
+    {
+        return std::nullopt;
+    }
+    auto const is_answered = found->second.unanswered_keepers.empty();
+    questions_.erase(found);
+    return is_answered;
+}
+
 bool binding_table::is_awaiting_keepers(flow_key flow) const
 {
-    auto const found = entries_.find(flow);
-    return found != entries_.end() && !found->second.unconfirmed.empty();
+    auto const bound = entries_.find(flow);
+    auto const asked = questions_.find(flow);
+    return (bound != entries_.end() && !bound->second.unconfirmed.empty()) ||
+           (asked != questions_.end() && !asked->second.unanswered.empty());
 }
 
 bool binding_table::is_settled(caller_packet const& packet) const
@@ -148,17 +262,21 @@
                                                 forwarder_effects& out)
 {
     std::vector<flow_key> replaced;
-    binding_message response{.is_response = true};
+    std::vector<flow_binding> responses;
     for (auto const& received : message.bindings)
     {
         auto const found = entries_.find(received.flow);
-        if (found != entries_.end() &&
-            replace_if_later(found->second, received, now))
+        auto const is_replaced = found != entries_.end() &&
+                                 replace_if_later(found->second, received, now);
+        auto const is_learned =
+            message.is_response && on_answer(received, from, now, out);
+        if (is_replaced || is_learned)
         {
             replaced.push_back(received.flow);
             out.push_back(log_decision{
                 .type = decision::flow_rebound,
                 .flow = received.flow,
+                .subject = received.server,
                 .reason = "another forwarder bound the flow before",
                 .age = received.age});
         }
@@ -167,12 +285,11 @@
             on_response(received, from);
             continue;
         }
-        response.bindings.push_back(merge(received, from, now, out));
-    }
-    if (!message.is_response)
-    {
-        out.push_back(send_bindings{from, std::move(response)});
+        responses.push_back(received.server.empty()
+                                ? answer_to(received, now)
+                                : merge(received, from, now, out));
     }
+    send_all(from, responses, true, out);
     return replaced;
 }
 
@@ -192,17 +309,9 @@
             send_to_keepers(found->second, now, messages);
         }
     }
-    for (auto& [destination, bindings] : messages)
+    for (auto const& [destination, bindings] : messages)
     {
-        for (std::size_t first = 0; first < bindings.size();
-             first += max_bindings_per_message)
-        {
-            auto const count =
-                std::min(max_bindings_per_message, bindings.size() - first);
-            auto const part = std::span{bindings}.subspan(first, count);
-            out.push_back(
-                send_bindings{destination, {{part.begin(), part.end()}}});
-        }
+        send_all(destination, bindings, false, out);
     }
 }
 
@@ -232,6 +341,7 @@
     }
     lifetime_ends_.push_back(
         {now.steady + settings_.flow_lifetime, binding.flow, ++insertions_});
+    questions_.erase(binding.flow);
     auto& bound = entries_[binding.flow];
     bound = {};
     bound.binding = binding;
@@ -240,6 +350,15 @@
     return bound;
 }
 
+flow_binding binding_table::answer_to(flow_binding const& asked,
+                                      instant now) const
+{
+    auto const found = entries_.find(asked.flow);
+    return found != entries_.end() && is_same_flow(found->second.binding, asked)
+               ? with_age(found->second.binding, found->second.bound_at, now)
+               : asked;
+}
+
 flow_binding binding_table::merge(flow_binding const& received,
                                   endpoint from,
                                   instant now,
@@ -265,10 +384,33 @@
     return received;
 }
 
+bool binding_table::on_answer(flow_binding const& answer,
+                              endpoint from,
+                              instant now,
+                              forwarder_effects& out)
+{
+    auto const found = questions_.find(answer.flow);
+    if (found == questions_.end() || !is_same_flow(found->second.asked, answer))
+    {
+        return false;
+    }
+    if (answer.server.empty())
+    {
+        std::erase(found->second.unanswered, from);
+        std::erase(found->second.unanswered_keepers, from);
+        return false;
+    }
+    auto& bound = insert(answer, now.steady - answer.age, now, out);
+    bound.informed = keeper_runs(answer.flow);
+    bound.is_settled = true;
+    mark_informed(bound, from);
+    return true;
+}
+
 void binding_table::on_response(flow_binding const& held, endpoint from)
 {
     auto const found = entries_.find(held.flow);
-    if (found == entries_.end())
+    if (found == entries_.end() || held.server.empty())
     {
         return;
     }
@@ -287,7 +429,7 @@
                                      instant now)
 {
     auto const bound_at = now.steady - other.age;
-    if (!is_same_flow(bound.binding, other) ||
+    if (!is_same_flow(bound.binding, other) || other.server.empty() ||
         bound.binding.server == other.server || bound.bound_at <= bound_at)
     {
         return false;
--- a/dotterelrouter/bindings/binding_table_test.cpp
+++ b/dotterelrouter/bindings/binding_table_test.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -19,8 +21,8 @@
 using testing::make_packet_arrived;
 
 constexpr data_centre_id data_centre{1};
-constexpr server_id first_server{4};
-constexpr server_id second_server{8};
+constexpr std::string_view first_server = "first";
+constexpr std::string_view second_server = "second";
 
 live_forwarder make_forwarder(std::uint32_t number,
                               std::uint64_t incarnation = 1)
@@ -42,12 +44,13 @@
     return packet;
 }
 
-flow_binding make_binding(std::uint16_t port, server_id server, duration age)
+flow_binding
+make_binding(std::uint16_t port, std::string_view server, duration age)
 {
     return {.flow = make_flow_key(port),
             .sequence = 1000,
             .acknowledgement = 5000,
-            .server = server,
+            .server = std::string{server},
             .age = age};
 }
 
--- a/dotterelrouter/bindings/bindings.hpp
+++ b/dotterelrouter/bindings/bindings.hpp
@@ -2,7 +2,7 @@
 //
 //     binding_table bindings(settings);
 //     bindings.set_forwarders(live_forwarders, now);
-//     bindings.bind(packet, server, now, out);  // the first binding wins
+//     bindings.bind(packet, server, basis, now, out); // the first one wins
 //     if (auto const bound = bindings.find(packet)) { ... }
 //
 // A caller echoes the token of the last server packet that it received. If the
@@ -11,7 +11,8 @@
 // Such a forwarder sends a binding to the keepers of the flow, which are chosen
 // by rendezvous hashing, so that any forwarder finds them without agreement. A
 // forwarder that doesn't know the flow binds it to the server in its token, and
-// learns from the keepers whether the flow was bound before.
+// learns from the keepers whether the flow was bound before. If the token names
+// several servers, it only asks them.
 //
 // Load: a binding costs about 40 bytes to each keeper and back. Flows that open
 // at the first attempt need none. Not thread-safe.
--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <queue>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -61,20 +62,38 @@
     /// are keepers now and were not before, when on_timer is due next.
     void set_forwarders(std::vector<live_forwarder> forwarders, instant now);
 
-    /// Returns the server to which the flow of a packet is bound, if it is. A
-    /// first packet belongs to a bound flow if it began that flow.
-    [[nodiscard]] std::optional<server_id>
+    /// Returns the name of the server to which the flow of a packet is bound,
+    /// if it is. A first packet belongs to a bound flow if it began that flow.
+    /// The view is valid until the next non-const call.
+    [[nodiscard]] std::optional<std::string_view>
     find(caller_packet const& packet) const;
 
     /// Binds the flow of a packet to a server, unless it is bound already, and
     /// sends the binding to the keepers.
     void bind(caller_packet const& packet,
-              server_id server,
+              std::string_view server,
               binding_basis basis,
               instant now,
               forwarder_effects& out);
 
-    /// True while a keeper has not responded to the binding of this flow.
+    /// Binds a flow that was seen open `binding.age` ago, unless it is bound
+    /// already, and sends the binding to the keepers.
+    void bind(flow_binding const& binding, instant now, forwarder_effects& out);
+
+    /// Asks the keepers and all forwarders of this data centre where the flow
+    /// of a packet is open, without binding it. Replaces an earlier question
+    /// about a flow of the same key.
+    ///
+    /// Load: flows that move to another forwarder while their token names two
+    /// servers; so few that all may be asked.
+    void ask(caller_packet const& packet, instant now, forwarder_effects& out);
+
+    /// Ends the question about this flow, if there is one, and returns whether
+    /// all keepers have responded that they don't know the flow.
+    std::optional<bool> end_question(flow_key flow);
+
+    /// True while a keeper has not responded to the binding of this flow, or a
+    /// forwarder to the question about it.
     [[nodiscard]] bool is_awaiting_keepers(flow_key flow) const;
     /// False if the flow of a packet is bound by a token only, and no other
     /// forwarder has confirmed that. True if the flow is not bound.
@@ -85,8 +104,8 @@
     [[nodiscard]] bool is_unconfirmed(flow_key flow, instant now) const;
 
     /// Merges the bindings of a message, and responds to it unless it is a
-    /// response. Returns the flows whose binding was replaced by an earlier one
-    /// to another server, and logs them.
+    /// response. Returns the flows that are bound to another server now than
+    /// before, and logs them.
     std::vector<flow_key> on_message(endpoint from,
                                      binding_message const& message,
                                      instant now,
@@ -105,6 +124,17 @@
     }
 
 private:
+    /// A question to the keepers of a flow.
+    struct question
+    {
+        flow_binding asked{}; ///< Without a server.
+        steady_time asked_at{};
+        /// Forwarders that have not responded.
+        std::vector<endpoint> unanswered{};
+        /// Those of them that are keepers of the flow.
+        std::vector<endpoint> unanswered_keepers{};
+    };
+
     /// One run of another forwarder.
     struct peer_run
     {
@@ -153,16 +183,29 @@
         std::uint64_t insertion = 0; ///< Tells a later flow of the key apart.
     };
 
+    void send_new(entry& bound, instant now, forwarder_effects& out);
     entry& insert(flow_binding const& binding,
                   steady_time bound_at,
                   instant now,
                   forwarder_effects& out);
+    /// Returns the binding of the flow that is asked about, or the question
+    /// itself if there is none.
+    [[nodiscard]] flow_binding answer_to(flow_binding const& asked,
+                                         instant now) const;
     /// Returns the binding that is held after the merge, with its age.
     flow_binding merge(flow_binding const& received,
                        endpoint from,
                        instant now,
                        forwarder_effects& out);
     void on_response(flow_binding const& held, endpoint from);
+    /// Handles the response to a question, if it is one. Returns whether the
+    /// flow is bound by it.
+    bool on_answer(flow_binding const& answer,
+                   endpoint from,
+                   instant now,
+                   forwarder_effects& out);
+    /// Removes questions whose packets wait no more, if there are too many.
+    void remove_old_questions(instant now);
     /// Replaces a binding if the other one is of the same flow, earlier and to
     /// another server. Returns whether it did.
     bool replace_if_later(entry& bound, flow_binding const& other, instant now);
@@ -182,6 +225,7 @@
     binding_table_settings settings_;
     std::vector<live_forwarder> forwarders_{};
     std::unordered_map<flow_key, entry> entries_{};
+    std::unordered_map<flow_key, question> questions_{};
     std::priority_queue<keeper_check, std::vector<keeper_check>, std::greater<>>
         checks_{};
     std::deque<lifetime_end> lifetime_ends_{}; ///< In the order of insertion.
--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -151,6 +151,7 @@
     out.set_started_ms(value.started_ms);
     out.set_revision(value.revision.value);
     out.set_era(value.revision.era);
+    out.set_created(value.created);
 }
 
 bool from_wire(wire::Server const& in, server_record& out)
@@ -162,6 +163,7 @@
     out.data_centre.value = in.data_centre();
     out.started_ms = in.started_ms();
     out.revision = {in.revision(), in.era()};
+    out.created = in.created();
     return narrow(in.port(), out.address.port) &&
            narrow(in.slots(), out.slots) &&
            to_enumerator(in.state(), server_state::gone, out.state) &&
@@ -176,7 +178,7 @@
     out.set_address_port(value.flow.service_address.port);
     out.set_sequence(value.sequence);
     out.set_acknowledgement(value.acknowledgement);
-    out.set_server(value.server.value);
+    out.set_server(value.server);
     out.set_age_us(age_to_wire(value.age) - 1);
 }
 
@@ -186,7 +188,7 @@
     out.flow.service_address.ip = in.address_ip();
     out.sequence = in.sequence();
     out.acknowledgement = in.acknowledgement();
-    out.server.value = in.server();
+    out.server = in.server();
     out.age = microseconds{std::min(in.age_us(), max_duration_us)};
     return narrow(in.caller_port(), out.flow.caller.port) &&
            narrow(in.address_port(), out.flow.service_address.port);
--- a/dotterelrouter/codec/replication_codec_test.cpp
+++ b/dotterelrouter/codec/replication_codec_test.cpp
@@ -59,9 +59,9 @@
     message.bindings = {{.flow = testing::make_flow_key(40001),
                          .sequence = UINT32_MAX,
                          .acknowledgement = 5,
-                         .server = {0xfffffffc},
+                         .server = "i-3d0f4bf384",
                          .age = 1500us},
-                        {.flow = testing::make_flow_key(7), .server = {4}}};
+                        {.flow = testing::make_flow_key(7)}};
     message.is_response = true;
     auto const decoded =
         decode_bindings(as_byte_view(encode_bindings(message)));
@@ -96,7 +96,7 @@
         {.flow = {{UINT32_MAX, UINT16_MAX}, {UINT32_MAX, UINT16_MAX}},
          .sequence = UINT32_MAX,
          .acknowledgement = UINT32_MAX,
-         .server = {UINT32_MAX},
+         .server = "i-0123456789abcd",
          .age = 24h});
     CHECK(encode_bindings(message).size() <= 1400);
 }
@@ -122,6 +122,7 @@
     update.servers[0].cold_remaining = 1500ms;
     update.servers[0].started_ms = 1784097448532;
     update.servers[0].revision.era = 2;
+    update.servers[0].created = 21;
     auto const decoded = decode_directory_update(
         as_byte_view(encode_directory_update(update, 5ms)));
     CHECK(decoded.has_value());
--- a/dotterelrouter/config/configuration.cpp
+++ b/dotterelrouter/config/configuration.cpp
@@ -46,6 +46,7 @@
         parent_service.servers.push_back(
             {.id = server_id{id_from_name(item.name)},
              .name = item.name,
+             .name_hash = id_from_name(item.name),
              .service = parent_service.id,
              .address = item.address,
              .data_centre = data_centre_id{id_from_name(item.data_centre)},
@@ -165,7 +166,12 @@
 
 std::uint32_t id_from_name(std::string_view name)
 {
-    return XXH32(name.data(), name.size(), 0);
+    return hash_of_name(name, 0);
+}
+
+std::uint32_t hash_of_name(std::string_view name, std::uint32_t seed)
+{
+    return XXH32(name.data(), name.size(), seed);
 }
 
 std::string_view configuration::data_centre_name(data_centre_id id) const
--- a/dotterelrouter/config/internal/configuration.hpp
+++ b/dotterelrouter/config/internal/configuration.hpp
@@ -52,8 +52,9 @@
 /// A backend server.
 struct backend_server
 {
-    server_id id; ///< Derived from `name`; see id_from_name.
+    server_id id; ///< See server_id.
     std::string name;
+    std::uint32_t name_hash = 0; ///< id_from_name(name); ranks the server.
     service_id service;
     endpoint address; ///< IP address and port that the server listens on.
     data_centre_id data_centre;
@@ -90,6 +91,10 @@
 /// build and on every machine; two names can have the same id.
 std::uint32_t id_from_name(std::string_view name);
 
+/// Returns a hash of a name, the same in every build and on every machine.
+/// Hashes with different seeds are independent. id_from_name has seed 0.
+std::uint32_t hash_of_name(std::string_view name, std::uint32_t seed);
+
 /// Everything that operators declared, at one epoch. Views and pointers that
 /// its functions return are valid as long as the object exists.
 class configuration
--- a/dotterelrouter/core/core.hpp
+++ b/dotterelrouter/core/core.hpp
@@ -16,5 +16,6 @@
 #include "dotterelrouter/core/internal/ids.hpp"
 #include "dotterelrouter/core/internal/messages.hpp"
 #include "dotterelrouter/core/internal/packets.hpp"
+#include "dotterelrouter/core/internal/string_map.hpp"
 #include "dotterelrouter/core/internal/time.hpp"
 #include "dotterelrouter/core/internal/verdict.hpp"
--- a/dotterelrouter/core/internal/ids.hpp
+++ b/dotterelrouter/core/internal/ids.hpp
@@ -22,8 +22,9 @@
 
 /// A service, such as the catalogue. Stable across configuration epochs.
 using service_id = strong_id<struct service_tag, std::uint32_t>;
-/// A backend server. Stable across configuration epochs, and never reused
-/// for a server with a different name.
+/// A backend server. A balancer derives it from the server's name, so that it
+/// is the same in every process. On the forwarding path a directory assigns it;
+/// it is never assigned again in the process, and means nothing in others.
 using server_id = strong_id<struct server_tag, std::uint32_t>;
 /// A kind of work, such as Lookups. The value is the index into
 /// configuration::kinds().
--- a/dotterelrouter/directory/directory.cpp
+++ b/dotterelrouter/directory/directory.cpp
@@ -12,6 +12,9 @@
 /// Time within which a live server whose entry expired registers again.
 constexpr duration expired_grace_period = std::chrono::milliseconds{2500};
 /// Time after which a server in state `gone` has no open flows left.
+constexpr duration max_flow_age_at_gone_server = std::chrono::seconds{60};
+/// Time for which it can be looked up. Longer, so that a token that it shares
+/// is not in use again while another forwarder still expects such flows.
 constexpr duration gone_retention_period = std::chrono::seconds{70};
 
 constexpr std::string_view state_reason(server_state state)
@@ -61,10 +64,27 @@
 bool is_unchanged(server_record restored, server_entry const& known)
 {
     restored.revision = known.record.revision;
+    restored.created = known.record.created;
     restored.cold_remaining = known.record.cold_remaining;
     return restored == known.record;
 }
 
+/// Whether a server is gone for so long that no flow is open there.
+bool has_no_flows(server_entry const& server, instant now)
+{
+    return server.record.state == server_state::gone &&
+           now.steady - server.changed_at >= max_flow_age_at_gone_server;
+}
+
+/// Whether the entry of the first server was in the store before that of the
+/// second one was created, as far as both entries tell.
+bool precedes(server_record const& first, server_record const& second)
+{
+    return first.revision.era == second.revision.era && first.created != 0 &&
+           first.created < second.created &&
+           first.started_ms <= second.started_ms;
+}
+
 /// Returns when the server's state ends: when an expired server becomes gone,
 /// or a gone one is erased. None for states that don't end by themselves.
 std::optional<steady_time> expiry_of(server_entry const& server)
@@ -145,25 +165,19 @@
                              directory_changes& changes,
                              forwarder_effects& out)
 {
-    auto const id = server_id_from_name(record.name);
-    auto const found = servers_.find(id);
-    if (found == servers_.end() && record.revision <= complete_through_)
+    auto const found = ids_by_name_.find(record.name);
+    if (found == ids_by_name_.end() && record.revision <= complete_through_)
     {
         return; // Removed in the meantime: the update is older.
     }
-    if (found == servers_.end())
+    if (found == ids_by_name_.end())
     {
-        auto& added = servers_[id];
-        added = {.id = id,
-                 .record = record,
-                 .changed_at = now.steady,
-                 .cold_until = now.steady + record.cold_remaining,
-                 .has_drained = record.state == server_state::draining};
-        changes.started_servers.push_back(id);
-        log_server(added, out);
+        auto const& added = add_server(record, now, changes, out);
+        changes.started_servers.push_back(added.id);
         return;
     }
-    auto& existing = found->second;
+    auto const id = found->second;
+    auto& existing = servers_.at(id);
     if (record.revision <= existing.record.revision)
     {
         return;
@@ -178,6 +192,7 @@
         (is_outdated(record, existing) || is_unchanged(record, existing)))
     {
         existing.record.revision = record.revision;
+        existing.record.created = record.created;
         return;
     }
     auto const has_restarted = existing.record.started_ms != record.started_ms;
@@ -192,6 +207,69 @@
     log_server(existing, out);
 }
 
+server_entry& directory::add_server(server_record const& record,
+                                    instant now,
+                                    directory_changes& changes,
+                                    forwarder_effects& out)
+{
+    auto const id = server_id{++last_server_id_};
+    auto& added = servers_[id];
+    added = {.id = id,
+             .record = record,
+             .tokens = tokens_of_name(record.name, token_hash_bits_),
+             .token = tokens_of_name(record.name, token_hash_bits_)[0],
+             .changed_at = now.steady,
+             .cold_until = now.steady + record.cold_remaining,
+             .has_drained = record.state == server_state::draining};
+    log_server(added, out);
+    for (auto const token : added.tokens)
+    {
+        auto const others = servers_of(token);
+        changes.ambiguous_servers.insert(
+            changes.ambiguous_servers.end(), others.begin(), others.end());
+    }
+    ids_by_name_[record.name] = id;
+    token_index_.add(id, added.tokens);
+    assign_tokens(added.tokens, out);
+    return added;
+}
+
+void directory::erase_server(server_id id, forwarder_effects& out)
+{
+    auto const found = servers_.find(id);
+    auto const tokens = found->second.tokens;
+    erased_through_ = std::max(erased_through_, found->second.record.revision);
+    ids_by_name_.erase(found->second.record.name);
+    token_index_.remove(id, tokens);
+    servers_.erase(found);
+    assign_tokens(tokens, out);
+}
+
+void directory::assign_tokens(std::array<route_token, 2> const& tokens,
+                              forwarder_effects& out)
+{
+    for (auto const token : tokens)
+    {
+        for (auto const id : servers_of(token))
+        {
+            auto& server = servers_.at(id);
+            auto const previous = server.token;
+            server.token =
+                token_index_.unshared(server.tokens).value_or(route_token{});
+            if (server.token != previous && server.token != server.tokens[0])
+            {
+                out.push_back(
+                    log_decision{.type = decision::token_shared,
+                                 .subject = server.record.name,
+                                 .reason = server.token == route_token{}
+                                               ? "no token of its own is left"
+                                               : "uses its second token",
+                                 .revision = server.record.revision});
+            }
+        }
+    }
+}
+
 void directory::mark_removed(server_entry& server,
                              store_revision revision,
                              instant now,
@@ -218,14 +296,15 @@
                                       instant now,
                                       forwarder_effects& out)
 {
-    std::unordered_set<server_id> listed;
+    std::unordered_set<std::string_view> listed;
     for (auto const& record : update.servers)
     {
-        listed.insert(server_id_from_name(record.name));
+        listed.insert(record.name);
     }
     for (auto& [id, server] : servers_)
     {
-        if (!listed.contains(id) && server.record.revision < update.through)
+        if (!listed.contains(server.record.name) &&
+            server.record.revision < update.through)
         {
             mark_removed(server, update.through, now, out);
         }
@@ -252,6 +331,7 @@
         entry.servers.push_back(
             {.id = id,
              .name = server.record.name,
+             .name_hash = id_from_name(server.record.name),
              .service = server.record.service,
              .address = server.record.address,
              .data_centre = server.record.data_centre,
@@ -264,33 +344,35 @@
     }
 }
 
-void directory::on_timer(instant now, forwarder_effects& out)
+std::vector<server_id> directory::on_timer(instant now, forwarder_effects& out)
 {
+    std::vector<server_id> erased;
     if (!next_timer_at_ || now.steady < *next_timer_at_)
     {
-        return;
+        return erased;
     }
-    for (auto it = servers_.begin(); it != servers_.end();)
+    for (auto& [id, server] : servers_)
     {
-        auto& server = it->second;
         auto const expiry = expiry_of(server);
         if (!expiry || now.steady < *expiry)
         {
-            ++it;
             continue;
         }
         if (server.record.state == server_state::gone)
         {
-            erased_through_ = std::max(erased_through_, server.record.revision);
-            it = servers_.erase(it);
+            erased.push_back(id);
             continue;
         }
         server.record.state = server_state::gone;
         server.changed_at = now.steady;
         log_server(server, out);
-        ++it;
+    }
+    for (auto const id : erased)
+    {
+        erase_server(id, out);
     }
     rebuild_services();
+    return erased;
 }
 
 std::optional<steady_time> directory::next_timer_at() const
@@ -328,9 +410,42 @@
     return found == servers_.end() ? nullptr : &found->second;
 }
 
+server_entry const* directory::find_server(std::string_view name) const
+{
+    auto const found = ids_by_name_.find(name);
+    return found == ids_by_name_.end() ? nullptr : find_server(found->second);
+}
+
 server_entry const* directory::find_server(route_token token) const
 {
-    return find_server(server_id_in(token));
+    auto const servers = servers_of(token);
+    return servers.size() == 1 ? find_server(servers.front()) : nullptr;
+}
+
+server_entry const* directory::first_server_of(route_token token,
+                                               instant now) const
+{
+    std::vector<server_entry const*> servers;
+    for (auto const id : servers_of(token))
+    {
+        auto const* const server = find_server(id);
+        if (!has_no_flows(*server, now))
+        {
+            servers.push_back(server);
+        }
+    }
+    auto const is_first = [&](server_entry const* candidate)
+    {
+        return std::ranges::all_of(servers,
+                                   [&](server_entry const* other)
+                                   {
+                                       return other == candidate ||
+                                              precedes(candidate->record,
+                                                       other->record);
+                                   });
+    };
+    auto const found = std::ranges::find_if(servers, is_first);
+    return found == servers.end() ? nullptr : *found;
 }
 
 directory_update directory::changes_after(directory_version after,
--- a/dotterelrouter/directory/directory.hpp
+++ b/dotterelrouter/directory/directory.hpp
@@ -12,15 +12,20 @@
 // `gone` can be looked up for a while longer, because packets of their open
 // flows still arrive.
 //
+// Servers are known by their names. Two of them can have the same token: then
+// the directory says so, and each gets another one that names it alone.
+//
 // A store that came back from an older copy starts a new era of revisions. Its
 // entries are merged as newer ones, except for those that are older by what the
 // servers said themselves: a server that drains stays so until it starts again.
 // Not thread-safe.
 #pragma once
 
+#include "dotterelrouter/directory/internal/token_index.hpp"
 #include "dotterelrouter/directory/internal/tokens.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <span>
@@ -34,8 +39,12 @@
 /// A backend server and the state that the directory keeps about it.
 struct server_entry
 {
-    server_id id{}; ///< Derived from the server's name.
+    server_id id{}; ///< Assigned when the server was added.
     server_record record{};
+    std::array<route_token, 2> tokens{}; ///< Both tokens of its name.
+    /// Settled token that names no other server that is known here; 0 if there
+    /// is none, and the server can't get new flows.
+    route_token token{};
     /// Time of the last change to `record`, changes of only its revision aside.
     steady_time changed_at{};
     steady_time cold_until{}; ///< End of the warm-up.
@@ -57,6 +66,9 @@
     bool routes_changed = false; ///< A newer route table is in force.
     /// Servers that are new, changed their state or were restarted in place.
     std::vector<server_id> started_servers{};
+    /// Servers that were known, and have a token that names one more server
+    /// now. Callers of their open flows may hold it.
+    std::vector<server_id> ambiguous_servers{};
 };
 
 /// Merges updates, and looks up routes, services and servers. The pointers and
@@ -64,14 +76,22 @@
 class directory
 {
 public:
+    /// `token_hash_bits` is the size of the hash in tokens; see
+    /// tokens_of_name().
+    explicit directory(unsigned token_hash_bits = max_token_hash_bits)
+        : token_hash_bits_(token_hash_bits)
+    {
+    }
+
     /// Merges an update, and logs each change through `out`.
     directory_changes on_update(directory_update const& update,
                                 instant now,
                                 forwarder_effects& out);
 
     /// Marks servers as gone whose grace period is over, and erases those whose
-    /// retention period is over. Does nothing before next_timer_at().
-    void on_timer(instant now, forwarder_effects& out);
+    /// retention period is over, which it returns. Does nothing before
+    /// next_timer_at().
+    std::vector<server_id> on_timer(instant now, forwarder_effects& out);
 
     /// Returns when on_timer is due next; none if no state depends on time.
     [[nodiscard]] std::optional<steady_time> next_timer_at() const;
@@ -115,9 +135,25 @@
     /// Returns a server, or null if it is unknown. Finds servers in state
     /// `gone` until their retention period is over. Constant time.
     [[nodiscard]] server_entry const* find_server(server_id id) const;
-    /// Returns the server that a token names, or null. Constant time.
+    /// Same, by name.
+    [[nodiscard]] server_entry const* find_server(std::string_view name) const;
+    /// Returns the server that a token names, or null if it names none or
+    /// several. Constant time.
     [[nodiscard]] server_entry const* find_server(route_token token) const;
 
+    /// Returns all servers that a token names. Constant time.
+    [[nodiscard]] std::span<server_id const> servers_of(route_token token) const
+    {
+        return token_index_.servers_of(token);
+    }
+
+    /// Returns the server at which a flow is open whose settled token names
+    /// several servers: the one that was registered and started before the
+    /// others, since no forwarder writes the token once it knows two of them.
+    /// Null if the entries don't show which one that is.
+    [[nodiscard]] server_entry const* first_server_of(route_token token,
+                                                      instant now) const;
+
     /// Returns what a directory of version `after` lacks. The update is
     /// complete if that directory has revision 0 or one of an earlier era, or
     /// if changes after it may have been erased. Linear in the number of
@@ -133,6 +169,15 @@
                       instant now,
                       directory_changes& changes,
                       forwarder_effects& out);
+    server_entry& add_server(server_record const& record,
+                             instant now,
+                             directory_changes& changes,
+                             forwarder_effects& out);
+    void erase_server(server_id id, forwarder_effects& out);
+    /// Gives each server that has one of these tokens one of its own, if there
+    /// is any.
+    void assign_tokens(std::array<route_token, 2> const& tokens,
+                       forwarder_effects& out);
     void mark_removed(server_entry& server,
                       store_revision revision,
                       instant now,
@@ -152,6 +197,10 @@
     std::shared_ptr<route_table const> routes_{};
     std::unordered_map<endpoint, std::size_t> route_index_{};
     std::unordered_map<server_id, server_entry> servers_{};
+    string_map<server_id> ids_by_name_{};
+    unsigned token_hash_bits_;
+    internal::token_index token_index_{};
+    std::uint32_t last_server_id_ = 0; ///< Ids are never assigned again.
     std::unordered_map<service_id, service> services_{};
     std::optional<steady_time> next_timer_at_{};
 };
--- a/dotterelrouter/directory/directory_test.cpp
+++ b/dotterelrouter/directory/directory_test.cpp
@@ -17,7 +17,8 @@
 using testing::lookup_address;
 using testing::make_route_table;
 using testing::make_server_record;
-using testing::server_id_for_number;
+using testing::server_name;
+using testing::token_of_server;
 
 /// Returns the complete contents of a store that came back from a copy.
 directory_update restored(std::uint64_t era,
@@ -68,7 +69,7 @@
 
     server_state state_of(std::uint32_t number)
     {
-        auto const* found = merged.find_server(server_id_for_number(number));
+        auto const* found = merged.find_server(server_name(number));
         return found == nullptr ? server_state::gone : found->record.state;
     }
 };
@@ -106,7 +107,7 @@
     merge(update(10, {make_server_record(1, 10, server_state::draining)}));
     auto const* found = merged.find_service({id_from_name("catalogue")});
     CHECK(found->all_servers().front().draining);
-    CHECK(merged.find_server(token_of(server_id_for_number(1))) != nullptr);
+    CHECK(merged.find_server(token_of_server(1)) != nullptr);
 }
 
 TEST(directory, server_with_expired_entry_is_gone_after_the_grace_period)
@@ -127,9 +128,9 @@
     CHECK(state_of(1) == server_state::gone);
     CHECK(merged.find_service({id_from_name("catalogue")}) == nullptr);
     // Packets of its open flows still find it.
-    CHECK(merged.find_server(token_of(server_id_for_number(1))) != nullptr);
+    CHECK(merged.find_server(token_of_server(1)) != nullptr);
     advance(71s);
-    CHECK(merged.find_server(token_of(server_id_for_number(1))) == nullptr);
+    CHECK(merged.find_server(token_of_server(1)) == nullptr);
 }
 
 TEST(directory, server_with_expired_entry_that_registers_again_is_ready)
@@ -185,8 +186,8 @@
                  {make_server_record(1, 10),
                   make_server_record(2, 90),
                   make_server_record(3, 120, server_state::draining)}));
-    CHECK(merged.find_server(server_id_for_number(2)) == nullptr);
-    CHECK(merged.find_server(server_id_for_number(3)) == nullptr);
+    CHECK(merged.find_server(server_name(2)) == nullptr);
+    CHECK(merged.find_server(server_name(3)) == nullptr);
     merge(update(210, {make_server_record(2, 205)}));
     CHECK(state_of(2) == server_state::ready);
 }
@@ -214,7 +215,7 @@
     copy.on_update(merged.changes_after({}, now), now, out);
     LONGS_EQUAL(10, copy.revision().value);
     LONGS_EQUAL(3, copy.routes_version());
-    CHECK(copy.find_server(server_id_for_number(1)) != nullptr);
+    CHECK(copy.find_server(server_name(1)) != nullptr);
 }
 
 TEST(directory, revision_older_than_an_erased_server_gets_a_complete_update)
@@ -309,7 +310,7 @@
     earlier.started_ms = 800;
     merge(update(20, {current}));
     merge(restored(1, 15, {earlier}, 8));
-    auto const* found = merged.find_server(server_id_for_number(1));
+    auto const* found = merged.find_server(server_name(1));
     CHECK(found->record.address == current.address);
     LONGS_EQUAL(900, found->record.started_ms);
 }
@@ -332,14 +333,12 @@
     auto warming = make_server_record(1, 10);
     warming.cold_remaining = 3s;
     merge(update(20, {warming}));
-    auto const cold_until =
-        merged.find_server(server_id_for_number(1))->cold_until;
+    auto const cold_until = merged.find_server(server_name(1))->cold_until;
     advance(2s);
     out.clear();
     merge(restored(1, 15, {warming}, 8));
     LONGS_EQUAL(0, count_logged(out, decision::server_changed));
-    CHECK(merged.find_server(server_id_for_number(1))->cold_until ==
-          cold_until);
+    CHECK(merged.find_server(server_name(1))->cold_until == cold_until);
 }
 
 TEST(directory, late_contents_of_the_previous_era_are_ignored)
@@ -352,7 +351,7 @@
     merge(late);
     CHECK(merged.revision() == (store_revision{22, 1}));
     CHECK(state_of(1) == server_state::ready);
-    CHECK(merged.find_server(server_id_for_number(2)) == nullptr);
+    CHECK(merged.find_server(server_name(2)) == nullptr);
 }
 
 /// Merging updates is commutative and idempotent: any order, with duplicates,
@@ -394,10 +393,8 @@
         LONGS_EQUAL(in_order.routes_version(), out_of_order.routes_version());
         for (std::uint32_t number = 0; number < 4; ++number)
         {
-            auto const* expected =
-                in_order.find_server(server_id_for_number(number));
-            auto const* actual =
-                out_of_order.find_server(server_id_for_number(number));
+            auto const* expected = in_order.find_server(server_name(number));
+            auto const* actual = out_of_order.find_server(server_name(number));
             CHECK((expected == nullptr) == (actual == nullptr));
             CHECK(expected == nullptr || expected->record == actual->record);
         }
--- a/dotterelrouter/directory/internal/tokens.hpp
+++ b/dotterelrouter/directory/internal/tokens.hpp
@@ -1,65 +1,76 @@
 // Route tokens, which name servers. Include
 // "dotterelrouter/directory/directory.hpp".
 //
-// A token holds the id of a server, and whether it was written while the flow
-// opened. The first packet of a flow may reach several servers, and each writes
-// the token of its copy into its handshake, which may reach the caller at any
-// time. So an opening token names a server at which the flow may be open. All
-// later packets carry the settled token of the server at which it is.
+// A token holds one of two hashes of a server's name, and whether it was
+// written while the flow opened. The first packet of a flow may reach several
+// servers, and each writes the token of its copy into its handshake, which may
+// reach the caller at any time. So an opening token names a server at which the
+// flow may be open. All later packets carry the settled token of the server at
+// which it is.
+//
+// Tokens are shorter than names, so that two servers can have the same one.
+// Only a directory can tell which servers a token names.
 #pragma once
 
 #include "dotterelrouter/config/config.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
+#include <array>
 #include <cstdint>
 #include <string_view>
 
 namespace dotterelrouter
 {
 
+/// Number of bits of a token that hold a hash of the server's name.
+inline constexpr unsigned max_token_hash_bits = 30;
+
 namespace internal
 {
 
-/// Bits of a token that are not part of the server's id.
-inline constexpr std::uint32_t token_flags_mask = 3;
 /// Set in the token of a first packet.
 inline constexpr std::uint32_t opening_flag = 1;
+/// Set if the token holds the second hash of the name.
+inline constexpr std::uint32_t second_hash_flag = 2;
+/// Number of the bits that hold flags.
+inline constexpr unsigned token_flag_bits = 2;
 
 } // namespace internal
 
-/// Returns the id by which the forwarding path knows the server with this name.
-/// It is never 0, so that a token of 0 names no server, and leaves the bits of
-/// the flags clear.
-[[nodiscard]] inline server_id server_id_from_name(std::string_view name)
-{
-    auto const value = id_from_name(name) & ~internal::token_flags_mask;
-    return server_id{value == 0 ? internal::token_flags_mask + 1 : value};
-}
-
-/// Returns the token for packets of a flow that is open at a server.
-[[nodiscard]] constexpr route_token token_of(server_id server)
+/// Whether the forwarder that wrote a token knew the flow to be open at the
+/// server that it names.
+[[nodiscard]] constexpr bool is_settled(route_token token)
 {
-    return route_token{server.value};
+    return token != route_token{} &&
+           (token.value & internal::opening_flag) == 0;
 }
 
-/// Returns the token for a flow's first packet, sent to a server.
-[[nodiscard]] constexpr route_token opening_token_of(server_id server)
+/// Returns the token for packets of a flow that is open at the server that a
+/// token names.
+[[nodiscard]] constexpr route_token as_settled(route_token token)
 {
-    return route_token{server.value | internal::opening_flag};
+    return route_token{token.value & ~internal::opening_flag};
 }
 
-/// Whether the forwarder that wrote a token knew the flow to be open at the
-/// server that it names.
-[[nodiscard]] constexpr bool is_settled(route_token token)
+/// Returns the token for a flow's first packet to the server that a token
+/// names.
+[[nodiscard]] constexpr route_token as_opening(route_token token)
 {
-    return token != route_token{} &&
-           (token.value & internal::opening_flag) == 0;
+    return route_token{token.value | internal::opening_flag};
 }
 
-/// Returns the id of the server that a token names.
-[[nodiscard]] constexpr server_id server_id_in(route_token token)
+/// Returns both settled tokens of the server with this name, in the order in
+/// which they are used. None is 0, so that a token of 0 names no server. Tests
+/// pass fewer hash bits to make servers share tokens.
+[[nodiscard]] inline std::array<route_token, 2>
+tokens_of_name(std::string_view name, unsigned hash_bits = max_token_hash_bits)
 {
-    return server_id{token.value & ~internal::token_flags_mask};
+    auto const hash_mask = ((std::uint32_t{1} << hash_bits) - 1)
+                           << internal::token_flag_bits;
+    auto const first = hash_of_name(name, 0) & hash_mask;
+    auto const second = hash_of_name(name, 1) & hash_mask;
+    return {route_token{first == 0 ? hash_mask : first},
+            route_token{second | internal::second_hash_flag}};
 }
 
 } // namespace dotterelrouter
--- a/dotterelrouter/forwarder/flows.cpp
+++ b/dotterelrouter/forwarder/flows.cpp
@@ -53,7 +53,7 @@
                         now.steady + handshake_timeouts[flow.attempts - 1]);
     }
     reachability_.on_flow_sent(server->id, server->record.data_centre, now);
-    forward_to(*server, flow.first_packet, opening_token_of(server->id), out);
+    forward_to(*server, flow.first_packet, as_opening(server->token), out);
     if (flow.attempts > 1)
     {
         out.push_back(
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -46,7 +46,7 @@
 
 forwarder::forwarder(forwarder_settings settings)
     : data_centre_{id_from_name(settings.data_centre)},
-      incarnation_(settings.incarnation),
+      incarnation_(settings.incarnation), directory_(settings.token_hash_bits),
       peers_({.self = settings.heartbeat_endpoint,
               .data_centre = data_centre_,
               .incarnation = settings.incarnation,
@@ -222,7 +222,10 @@
                    forwarder_effects& out)
 {
     timer_armed_for_.reset();
-    directory_.on_timer(now, out);
+    for (auto const server : directory_.on_timer(now, out))
+    {
+        reachability_.forget_server(server);
+    }
     peers_.on_timer(make_heartbeat(now), now, out);
     for (auto const& [data_centre, live] : peers_.data_centre_liveness(now))
     {
@@ -281,8 +284,9 @@
     }
     for (auto const server : changes.started_servers)
     {
-        reachability_.on_server_started(server);
+        reachability_.forget_server(server);
     }
+    bind_flows_at(changes.ambiguous_servers, now, out);
     update_readiness(out);
     process_buffered_packets(now, out);
 }
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -44,6 +44,8 @@
     std::vector<endpoint> seeds{};
     /// Age from which a flow may be discarded.
     duration flow_lifetime = std::chrono::seconds{60};
+    /// Size of the hash in tokens; see tokens_of_name().
+    unsigned token_hash_bits = max_token_hash_bits;
 };
 
 /// Current values of the gauge metrics.
@@ -130,6 +132,11 @@
     void on_unplaced_flow_packet(caller_packet const& packet,
                                  instant now,
                                  forwarder_effects& out);
+    /// Handles a packet whose token names several servers, while nothing known
+    /// here tells at which one its flow is open.
+    void on_ambiguous_packet(caller_packet const& packet,
+                             instant now,
+                             forwarder_effects& out);
     /// Forwards a packet of an open flow, with the settled token of the server
     /// unless only this forwarder knows the flow's binding.
     void forward_later_packet(server_entry const& server,
@@ -151,18 +158,48 @@
                                  forwarder_effects& out);
 
     // Where flows are open.
+    /// Returns the server of a placed flow, or null if it is unknown.
+    server_entry const* find_server_of(internal::placed_flow& flow,
+                                       caller_packet const& packet);
+    /// Returns the server that a token names, or null if it names none or
+    /// several. The opening token of an attempt at this flow names its server.
+    [[nodiscard]] server_entry const*
+    find_named_server(internal::placed_flow const& flow,
+                      route_token token) const;
+    /// Whether a token names several servers.
+    [[nodiscard]] bool is_ambiguous(route_token token) const;
+    /// Binds the open flows at servers whose tokens became ambiguous.
+    void bind_flows_at(std::span<server_id const> servers,
+                       instant now,
+                       forwarder_effects& out);
     /// Marks a flow as open at the server that a packet and the flow's binding
     /// tell. Returns false if the packet was held or dropped.
     bool open_flow(internal::placed_flow& flow,
                    caller_packet const& packet,
                    instant now,
                    forwarder_effects& out);
+    /// Binds the open flows in the questions of another forwarder.
+    void bind_flows_asked_about(binding_message const& message,
+                                instant now,
+                                forwarder_effects& out);
+    /// Binds a flow that was seen open here. Does nothing if its server is
+    /// unknown.
+    void bind_placed_flow(internal::placed_flow const& flow,
+                          std::string_view reason,
+                          instant now,
+                          forwarder_effects& out);
     void bind_flow(caller_packet const& packet,
                    server_entry const& server,
                    binding_basis basis,
                    std::string_view reason,
                    instant now,
                    forwarder_effects& out);
+    void log_bound_flow(flow_key flow,
+                        std::string_view request_id,
+                        server_entry const& server,
+                        std::string_view reason,
+                        instant now,
+                        forwarder_effects& out);
     /// Holds a packet if keepers have not responded to its flow's binding, and
     /// returns whether it does.
     bool hold_until_confirmed(caller_packet const& packet,
--- a/dotterelrouter/forwarder/forwarder_test.cpp
+++ b/dotterelrouter/forwarder/forwarder_test.cpp
@@ -19,7 +19,8 @@
 using testing::make_packet_arrived;
 using testing::make_route_table;
 using testing::make_server_record;
-using testing::server_id_for_number;
+using testing::server_name;
+using testing::token_of_server;
 
 constexpr endpoint own_address{0x0a010001, 7720};
 constexpr endpoint peer_address{0x0a010002, 7720};
@@ -109,7 +110,7 @@
     auto const forwarded = forwarded_packet();
     CHECK(forwarded.destination == make_server_record(1, 10).address);
     LONGS_EQUAL(1, forwarded.server_number);
-    CHECK(forwarded.token == opening_token_of(server_id_for_number(1)));
+    CHECK(forwarded.token == as_opening(token_of_server(1)));
 }
 
 TEST(forwarder, packets_of_an_open_flow_are_forwarded_by_token)
@@ -119,9 +120,8 @@
            make_server_record(3, 10)});
     for (std::uint32_t number = 1; number <= 3; ++number)
     {
-        dispatch(make_packet_arrived(make_flow_key(1),
-                                     packet_type::data,
-                                     token_of(server_id_for_number(number))));
+        dispatch(make_packet_arrived(
+            make_flow_key(1), packet_type::data, token_of_server(number)));
         CHECK(forwarded_packet().destination ==
               make_server_record(number, 10).address);
     }
@@ -131,9 +131,8 @@
 {
     start({make_server_record(1, 10)});
     read_snapshot({make_server_record(1, 11, server_state::draining)}, 11);
-    dispatch(make_packet_arrived(make_flow_key(1),
-                                 packet_type::data,
-                                 token_of(server_id_for_number(1))));
+    dispatch(make_packet_arrived(
+        make_flow_key(1), packet_type::data, token_of_server(1)));
     CHECK(forwarded_packet().destination == make_server_record(1, 10).address);
 }
 
@@ -216,7 +215,7 @@
     dispatch(
         make_packet_arrived(make_flow_key(1), packet_type::data, second.token));
     CHECK(forwarded_packet().server_number == first.server_number);
-    CHECK(forwarded_packet().token == token_of(server_id_in(first.token)));
+    CHECK(forwarded_packet().token == as_settled(first.token));
 }
 
 /// Routers moved a flow while it opened, and its first forwarder made an
@@ -236,12 +235,13 @@
     dispatch(second_request);
     LONGS_EQUAL(0, effects_of_type<forward_packet>(out).size());
     auto held = effects_of_type<send_bindings>(out).at(0).message;
-    held.bindings.front().server = server_id_in(first.token);
+    held.bindings.front().server =
+        server_name(static_cast<std::uint32_t>(first.server_number));
     held.bindings.front().age = 26ms;
     held.is_response = true;
     dispatch(bindings_received{peer_address, held});
     CHECK(forwarded_packet().server_number == first.server_number);
-    CHECK(forwarded_packet().token == token_of(server_id_in(first.token)));
+    CHECK(forwarded_packet().token == as_settled(first.token));
 }
 
 TEST(forwarder, flow_opened_on_second_server_gets_that_servers_token)
@@ -254,8 +254,8 @@
     dispatch(
         make_packet_arrived(make_flow_key(1), packet_type::data, second.token));
     CHECK(forwarded_packet().server_number == second.server_number);
-    auto const second_server_token = token_of(
-        server_id_for_number(static_cast<std::uint32_t>(second.server_number)));
+    auto const second_server_token =
+        token_of_server(static_cast<std::uint32_t>(second.server_number));
     CHECK(forwarded_packet().token == second_server_token);
     CHECK(second.token != second_server_token);
     dispatch(make_packet_arrived(
@@ -272,9 +272,8 @@
     LONGS_EQUAL(0, effects_of_type<forward_packet>(out).size());
     dispatch(make_packet_arrived(make_flow_key(1), packet_type::open, {}, 1));
     LONGS_EQUAL(0, effects_of_type<forward_packet>(out).size());
-    dispatch(make_packet_arrived(make_flow_key(2),
-                                 packet_type::data,
-                                 token_of(server_id_for_number(1))));
+    dispatch(make_packet_arrived(
+        make_flow_key(2), packet_type::data, token_of_server(1)));
     LONGS_EQUAL(1, forwarded_packet().server_number);
     advance(101ms);
     dispatch(make_packet_arrived(make_flow_key(1), packet_type::open, {}, 2));
@@ -480,9 +479,8 @@
     bool is_finished = false;
     while (!is_finished && elapsed < 10s)
     {
-        dispatch(make_packet_arrived(make_flow_key(1),
-                                     packet_type::data,
-                                     token_of(server_id_for_number(1))));
+        dispatch(make_packet_arrived(
+            make_flow_key(1), packet_type::data, token_of_server(1)));
         elapsed += 100ms;
         advance(100ms);
         is_finished = !effects_of_type<exit_process>(out).empty();
@@ -594,7 +592,7 @@
     {
         auto request = make_packet_arrived(make_flow_key(port),
                                            packet_type::data,
-                                           token_of(server_id_for_number(1)),
+                                           token_of_server(1),
                                            acknowledged);
         request.packet.data_size = 100;
         dispatch(request);
@@ -609,10 +607,8 @@
             send_request(port, request);
             advance(800ms);
         }
-        dispatch(make_packet_arrived(make_flow_key(port),
-                                     packet_type::close,
-                                     token_of(server_id_for_number(1)),
-                                     4));
+        dispatch(make_packet_arrived(
+            make_flow_key(port), packet_type::close, token_of_server(1), 4));
     }
     LONGS_EQUAL(0, refused_count);
 }
--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -180,6 +180,16 @@
         return found == loads_.end() ? 0 : found->second;
     }
 
+    /// Calls `visit(placed_flow const&)` for each flow.
+    template <class Visit>
+    void for_each(Visit visit) const
+    {
+        for (auto const& [key, flow] : flows_)
+        {
+            visit(flow);
+        }
+    }
+
     /// Makes a flow due at a time, in addition to the times set before.
     void schedule(flow_key key, steady_time due)
     {
--- a/dotterelrouter/forwarder/internal/opening.hpp
+++ b/dotterelrouter/forwarder/internal/opening.hpp
@@ -33,16 +33,18 @@
     contested,
 };
 
-/// Returns the evidence of a packet with an opening token, the first one of the
-/// flow here after its first packet.
-[[nodiscard]] inline opening_evidence
-evidence_of(placed_flow const& flow, caller_packet const& packet, instant now)
+/// Returns the evidence of a packet with the opening token of a server, the
+/// first one of the flow here after its first packet.
+[[nodiscard]] inline opening_evidence evidence_of(placed_flow const& flow,
+                                                  caller_packet const& packet,
+                                                  server_id server,
+                                                  instant now)
 {
     auto const is_acknowledgement = packet.sequence - flow.first_sequence <= 1;
     auto const is_first_response =
         now.steady - flow.arrived_after < first_response_period;
     if (!is_acknowledgement || !is_first_response ||
-        !flow.has_attempted(server_id_in(packet.token)))
+        !flow.has_attempted(server))
     {
         return opening_evidence::contested;
     }
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -4,8 +4,10 @@
 #include "dotterelrouter/forwarder/internal/opening.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace dotterelrouter
 {
@@ -19,8 +21,9 @@
                                         forwarder_effects& out)
 {
     // A settled token was written by a forwarder that knew where the flow is.
-    auto const is_overruled =
-        is_settled(packet.token) && !bindings_.is_settled(packet);
+    auto const is_overruled = is_settled(packet.token) &&
+                              !is_ambiguous(packet.token) &&
+                              !bindings_.is_settled(packet);
     if (!is_overruled && bindings_.find(packet))
     {
         if (!hold_if_unconfirmed(packet, now, out))
@@ -29,6 +32,11 @@
         }
         return;
     }
+    if (is_ambiguous(packet.token))
+    {
+        on_ambiguous_packet(packet, now, out);
+        return;
+    }
     auto const* const server = directory_.find_server(packet.token);
     if (server == nullptr)
     {
@@ -51,6 +59,135 @@
     forward_later_packet(*server, packet, out);
 }
 
+void forwarder::on_ambiguous_packet(caller_packet const& packet,
+                                    instant now,
+                                    forwarder_effects& out)
+{
+    auto is_unbound = bindings_.end_question(packet.flow);
+    if (!is_unbound)
+    {
+        bindings_.ask(packet, now, out);
+        if (hold_until_confirmed(packet, now, out))
+        {
+            return;
+        }
+        is_unbound = bindings_.end_question(packet.flow);
+    }
+    auto const* const server =
+        is_unbound == true && is_settled(packet.token)
+            ? directory_.first_server_of(packet.token, now)
+            : nullptr;
+    if (server != nullptr)
+    {
+        forward_later_packet(*server, packet, out);
+        return;
+    }
+    out.push_back(
+        increment_forwarder_counter{forwarder_counter::packets_ambiguous});
+    out.push_back(log_decision{
+        .type = decision::flow_ambiguous,
+        .flow = packet.flow,
+        .request_id = std::string{packet.request_id},
+        .reason = "its token names several servers, and no forwarder knows it",
+        .revision = directory_.revision(),
+        .age = freshness_.age(now),
+        .count = static_cast<std::uint32_t>(
+            directory_.servers_of(packet.token).size())});
+}
+
+bool forwarder::is_ambiguous(route_token token) const
+{
+    return directory_.servers_of(token).size() > 1;
+}
+
+server_entry const* forwarder::find_server_of(placed_flow& flow,
+                                              caller_packet const& packet)
+{
+    if (flow.server == server_id{})
+    {
+        auto const bound_server = bindings_.find(packet);
+        auto const* const server =
+            bound_server ? directory_.find_server(*bound_server) : nullptr;
+        flows_.move(flow, server == nullptr ? server_id{} : server->id);
+    }
+    return directory_.find_server(flow.server);
+}
+
+server_entry const* forwarder::find_named_server(placed_flow const& flow,
+                                                 route_token token) const
+{
+    if (is_settled(token) || !is_ambiguous(token))
+    {
+        return directory_.find_server(token);
+    }
+    std::vector<server_id> attempted;
+    std::ranges::copy_if(directory_.servers_of(token),
+                         std::back_inserter(attempted),
+                         [&](server_id server)
+                         {
+                             return flow.has_attempted(server);
+                         });
+    return attempted.size() == 1 ? directory_.find_server(attempted.front())
+                                 : nullptr;
+}
+
+void forwarder::bind_flows_at(std::span<server_id const> servers,
+                              instant now,
+                              forwarder_effects& out)
+{
+    if (servers.empty())
+    {
+        return;
+    }
+    flows_.for_each(
+        [&](placed_flow const& flow)
+        {
+            if (!flow.opened || std::ranges::count(servers, flow.server) == 0)
+            {
+                return;
+            }
+            bind_placed_flow(
+                flow, "its token names another server as well", now, out);
+        });
+}
+
+void forwarder::bind_flows_asked_about(binding_message const& message,
+                                       instant now,
+                                       forwarder_effects& out)
+{
+    for (auto const& asked : message.bindings)
+    {
+        auto const* const flow =
+            asked.server.empty() ? flows_.find(asked.flow) : nullptr;
+        if (flow != nullptr && flow->opened &&
+            is_same_stream(asked.sequence, flow->last_sequence) &&
+            is_same_stream(asked.acknowledgement, flow->last_acknowledgement))
+        {
+            bind_placed_flow(*flow, "another forwarder asked", now, out);
+        }
+    }
+}
+
+void forwarder::bind_placed_flow(placed_flow const& flow,
+                                 std::string_view reason,
+                                 instant now,
+                                 forwarder_effects& out)
+{
+    auto const* const server = directory_.find_server(flow.server);
+    if (server == nullptr)
+    {
+        return;
+    }
+    bindings_.bind({.flow = flow.key,
+                    .sequence = flow.last_sequence,
+                    .acknowledgement = flow.last_acknowledgement,
+                    .server = server->record.name,
+                    .age = duration{now.steady - flow.first_seen}},
+                   now,
+                   out);
+    log_bound_flow(flow.key, {}, *server, reason, now, out);
+}
+
 bool forwarder::forward_to_bound_server(caller_packet const& packet,
                                         instant now,
                                         forwarder_effects& out)
@@ -81,8 +218,15 @@
     {
         return false;
     }
-    auto const server = bound_server.value_or(server_id_in(packet.token));
-    auto const* const entry = directory_.find_server(server);
+    if (!bound_server && is_ambiguous(packet.token) &&
+        find_named_server(flow, packet.token) == nullptr)
+    {
+        on_ambiguous_packet(packet, now, out);
+        return false;
+    }
+    auto const* const entry = bound_server
+                                  ? directory_.find_server(*bound_server)
+                                  : find_named_server(flow, packet.token);
     if (entry == nullptr)
     {
         drop_unrouted_packet(packet, now, out);
@@ -90,9 +234,18 @@
     }
     if (!bound_server && !is_settled(packet.token))
     {
-        switch (evidence_of(flow, packet, now))
+        switch (evidence_of(flow, packet, entry->id, now))
         {
         case opening_evidence::sole_server:
+            if (is_ambiguous(packet.token))
+            {
+                bind_flow(packet,
+                          *entry,
+                          binding_basis::seen_open,
+                          "its token names another server as well",
+                          now,
+                          out);
+            }
             break;
         case opening_evidence::one_of_several:
             bind_flow(packet,
@@ -117,7 +270,7 @@
             break;
         }
     }
-    mark_opened(flow, server, now, out);
+    mark_opened(flow, entry->id, now, out);
     return true;
 }
 
@@ -128,11 +281,21 @@
                           instant now,
                           forwarder_effects& out)
 {
-    bindings_.bind(packet, server.id, basis, now, out);
+    bindings_.bind(packet, server.record.name, basis, now, out);
+    log_bound_flow(packet.flow, packet.request_id, server, reason, now, out);
+}
+
+void forwarder::log_bound_flow(flow_key flow,
+                               std::string_view request_id,
+                               server_entry const& server,
+                               std::string_view reason,
+                               instant now,
+                               forwarder_effects& out)
+{
     out.push_back(increment_forwarder_counter{forwarder_counter::flows_bound});
     out.push_back(log_decision{.type = decision::flow_bound,
-                               .flow = packet.flow,
-                               .request_id = std::string{packet.request_id},
+                               .flow = flow,
+                               .request_id = std::string{request_id},
                                .subject = server.record.name,
                                .reason = reason,
                                .revision = server.record.revision,
@@ -216,6 +379,7 @@
                    instant now,
                    forwarder_effects& out)
 {
+    bind_flows_asked_about(next_event.message, now, out);
     auto const rebound =
         bindings_.on_message(next_event.from, next_event.message, now, out);
     for (auto const& binding : next_event.message.bindings)
@@ -224,7 +388,8 @@
         if (flow != nullptr && flow->opened &&
             std::ranges::count(rebound, binding.flow) != 0)
         {
-            flows_.move(*flow, binding.server);
+            auto const* const server = directory_.find_server(binding.server);
+            flows_.move(*flow, server == nullptr ? server_id{} : server->id);
         }
     }
     release_held_flows(rebound, now, out);
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -3,6 +3,7 @@
 #include "dotterelrouter/forwarder/forwarder.hpp"
 #include "dotterelrouter/forwarder/internal/flow_limits.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace dotterelrouter
@@ -25,6 +26,15 @@
 /// server responds to an open flow.
 constexpr duration min_long_pause = std::chrono::seconds{1};
 
+/// Returns the token for later packets of a flow that is open at a server. If
+/// the server has none of its own, it is an opening token, by which other
+/// forwarders ask where the flow is open.
+route_token later_token_of(server_entry const& server)
+{
+    return server.token == route_token{} ? as_opening(server.tokens.front())
+                                         : server.token;
+}
+
 } // namespace
 
 void forwarder::on(packet_arrived const& next_event,
@@ -138,7 +148,7 @@
     {
         if (auto const* const server = directory_.find_server(flow->server))
         {
-            forward_to(*server, packet.bytes, token_of(server->id), out);
+            forward_to(*server, packet.bytes, later_token_of(*server), out);
         }
         return;
     }
@@ -273,7 +283,7 @@
     {
         return;
     }
-    auto const* const server = directory_.find_server(flow.server);
+    auto const* const server = find_server_of(flow, packet);
     if (!flow.opening_logged && flow.opened && !packet.request_id.empty())
     {
         flow.opening_logged = true;
@@ -312,15 +322,16 @@
                                      forwarder_effects& out)
 {
     if (packet.token != route_token{} &&
-        server_id_in(packet.token) != server.id)
+        std::ranges::count(directory_.servers_of(packet.token), server.id) == 0)
     {
         out.push_back(
             increment_forwarder_counter{forwarder_counter::packets_retargeted});
     }
-    auto const token = bindings_.is_settled(packet)
-                           ? token_of(server.id)
-                           : opening_token_of(server.id);
-    forward_to(server, packet.bytes, token, out);
+    auto const token = later_token_of(server);
+    forward_to(server,
+               packet.bytes,
+               bindings_.is_settled(packet) ? token : as_opening(token),
+               out);
 }
 
 void forwarder::drop_unrouted_packet(caller_packet const& packet,
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -126,9 +126,13 @@
 {
     auto const is_suspicion_ignored =
         is_majority_suspected(target_service, now);
+    auto const has_token = [&](server_id server)
+    {
+        return directory_.find_server(server)->token != route_token{};
+    };
     auto const is_unattempted = [&](server_id server)
     {
-        return std::ranges::count(flow.attempted_servers(), server) == 0;
+        return has_token(server) && !flow.has_attempted(server);
     };
     auto const is_reachable = [&](server_id server)
     {
@@ -162,12 +166,7 @@
             return is_unattempted(server) && is_reachable(server);
         });
     choice = choice ? choice : choose_among(is_unattempted);
-    choice = choice ? choice
-                    : choose_among(
-                          [](server_id)
-                          {
-                              return true;
-                          });
+    choice = choice ? choice : choose_among(has_token);
     return choice ? std::optional{choice->server} : std::nullopt;
 }
 
--- a/dotterelrouter/forwarding/internal/effects.hpp
+++ b/dotterelrouter/forwarding/internal/effects.hpp
@@ -103,6 +103,7 @@
     directory_restored,
     routes_in_force,
     server_changed,
+    token_shared,
     entry_unreadable,
     peer_found,
     peer_lost,
@@ -119,6 +120,7 @@
     flow_bound,
     flow_rebound,
     flow_binding_unconfirmed,
+    flow_ambiguous,
     invariant_broken,
 };
 
@@ -158,6 +160,9 @@
     packets_held,
     /// Packets of open flows whose token named another server.
     packets_retargeted,
+    /// Packets whose token named several servers, and whose flow no other
+    /// forwarder knew.
+    packets_ambiguous,
     /// Bindings dropped because the table was full.
     bindings_evicted,
     store_reads,
--- a/dotterelrouter/forwarding/internal/messages.hpp
+++ b/dotterelrouter/forwarding/internal/messages.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace dotterelrouter
@@ -39,7 +40,7 @@
 };
 
 /// The server at which a flow is open. Forwarders share the bindings of those
-/// flows whose caller may hold the token of another server.
+/// flows whose caller may hold a token that names another server.
 struct flow_binding
 {
     flow_key flow{};
@@ -48,7 +49,9 @@
     /// uses its ports again.
     std::uint32_t sequence = 0;
     std::uint32_t acknowledgement = 0;
-    server_id server{};
+    /// Name of the server. Empty in a question whether the flow is bound, and
+    /// in the response that it is not.
+    std::string server{};
     duration age{}; ///< Time since the flow was bound.
 
     friend bool operator==(flow_binding const&, flow_binding const&) = default;
--- a/dotterelrouter/forwarding/internal/records.hpp
+++ b/dotterelrouter/forwarding/internal/records.hpp
@@ -72,6 +72,9 @@
     duration cold_remaining{};
     std::int64_t started_ms = 0; ///< Unix time of the start; 0: unknown.
     store_revision revision{};   ///< Revision of the last change.
+    /// Revision at which the entry was created; 0: unknown. An entry that was
+    /// removed and written again was created then.
+    std::uint64_t created = 0;
 
     friend bool operator==(server_record const&,
                            server_record const&) = default;
--- a/dotterelrouter/reachability/reachability.cpp
+++ b/dotterelrouter/reachability/reachability.cpp
@@ -113,7 +113,7 @@
     data_centre->second = {.silent = silent};
 }
 
-void reachability::on_server_started(server_id server)
+void reachability::forget_server(server_id server)
 {
     servers_.erase(server);
 }
--- a/dotterelrouter/reachability/reachability.hpp
+++ b/dotterelrouter/reachability/reachability.hpp
@@ -54,8 +54,8 @@
     void on_handshake_completed(handshake_target const& server,
                                 forwarder_effects& out);
 
-    /// Discards the failures of a server that started again.
-    void on_server_started(server_id server);
+    /// Discards the failures of a server that started again or is gone.
+    void forget_server(server_id server);
 
     /// Records whether a data centre is silent: heartbeats of its forwarders
     /// were received before, but none are received any more. One unanswered
--- a/dotterelrouter/reachability/reachability_test.cpp
+++ b/dotterelrouter/reachability/reachability_test.cpp
@@ -11,7 +11,6 @@
 
 using namespace std::chrono_literals;
 using testing::count_logged;
-using testing::server_id_for_number;
 
 data_centre_id const own{1};
 data_centre_id const other{2};
@@ -25,13 +24,13 @@
 
     void time_out(std::uint32_t server, data_centre_id data_centre)
     {
-        detector.on_handshake_timeout({server_id_for_number(server), data_centre}, now, out);
+        detector.on_handshake_timeout({server_id{server}, data_centre}, now, out);
     }
 
     bool is_usable(std::uint32_t server, data_centre_id data_centre)
     {
         return detector.is_data_centre_usable(data_centre, now) &&
-               detector.is_server_usable(server_id_for_number(server), now);
+               detector.is_server_usable(server_id{server}, now);
     }
 };
 
@@ -51,7 +50,7 @@
 {
     time_out(1, own);
     time_out(1, own);
-    detector.on_handshake_completed({server_id_for_number(1), own}, out);
+    detector.on_handshake_completed({server_id{1}, own}, out);
     CHECK(is_usable(1, own));
     LONGS_EQUAL(1, count_logged(out, decision::server_answers));
 }
@@ -62,7 +61,7 @@
     time_out(1, own);
     now.steady += 501ms;
     CHECK(is_usable(1, own));
-    detector.on_flow_sent(server_id_for_number(1), own, now);
+    detector.on_flow_sent(server_id{1}, own, now);
     CHECK(!is_usable(1, own));
 }
 
@@ -74,7 +73,7 @@
     time_out(3, other);
     CHECK(!is_usable(4, other));
     CHECK(is_usable(5, own));
-    detector.on_handshake_completed({server_id_for_number(4), other}, out);
+    detector.on_handshake_completed({server_id{4}, other}, out);
     CHECK(is_usable(4, other));
     LONGS_EQUAL(1, count_logged(out, decision::data_centre_answers));
 }
@@ -86,7 +85,7 @@
     time_out(1, other);
     CHECK(!is_usable(4, other));
     detector.on_data_centre_silence_changed(other, false);
-    detector.on_handshake_completed({server_id_for_number(4), other}, out);
+    detector.on_handshake_completed({server_id{4}, other}, out);
     time_out(1, other);
     CHECK(is_usable(4, other));
 }
@@ -104,7 +103,7 @@
 {
     time_out(1, own);
     time_out(1, own);
-    detector.on_server_started(server_id_for_number(1));
+    detector.forget_server(server_id{1});
     CHECK(is_usable(1, own));
 }
 
--- a/dotterelrouter/routing/internal/choice.hpp
+++ b/dotterelrouter/routing/internal/choice.hpp
@@ -60,7 +60,7 @@
     constexpr double unit_interval_scale = 0x1p-53;
     constexpr unsigned dropped_bits = 11;
     auto const server_hash =
-        mix(flow_hash ^ mix(server.id.value + 0x9e3779b97f4a7c15U));
+        mix(flow_hash ^ mix(server.name_hash + 0x9e3779b97f4a7c15U));
     // The upper 53 bits, scaled to a number above 0 and at most 1.
     auto const uniform_sample =
         (static_cast<double>(server_hash >> dropped_bits) + 0.5) *
--- a/dotterelrouter/routing/routing_test.cpp
+++ b/dotterelrouter/routing/routing_test.cpp
@@ -28,6 +28,7 @@
     {
         backend_server server;
         server.id = server_id{number};
+        server.name_hash = number;
         server.slots = 3;
         result.servers.push_back(server);
     }
--- a/dotterelrouter/telemetry/decision_log.cpp
+++ b/dotterelrouter/telemetry/decision_log.cpp
@@ -35,6 +35,7 @@
     case decision::flow_bound:
     case decision::flow_rebound:
     case decision::flow_binding_unconfirmed:
+    case decision::flow_ambiguous:
         return record_class::flow_problem;
     default:
         return record_class::state_change;
@@ -67,6 +68,7 @@
     std::string_view{"directory_restored"},
     std::string_view{"routes_in_force"},
     std::string_view{"server_changed"},
+    std::string_view{"token_shared"},
     std::string_view{"entry_unreadable"},
     std::string_view{"peer_found"},
     std::string_view{"peer_lost"},
@@ -83,6 +85,7 @@
     std::string_view{"flow_bound"},
     std::string_view{"flow_rebound"},
     std::string_view{"flow_binding_unconfirmed"},
+    std::string_view{"flow_ambiguous"},
     std::string_view{"invariant_broken"},
 };
 static_assert(decision_names.size() ==
--- a/dotterelrouter/telemetry/forwarder_metrics.cpp
+++ b/dotterelrouter/telemetry/forwarder_metrics.cpp
@@ -44,6 +44,8 @@
         return "packets_held";
     case forwarder_counter::packets_retargeted:
         return "packets_retargeted";
+    case forwarder_counter::packets_ambiguous:
+        return "packets_ambiguous";
     case forwarder_counter::bindings_evicted:
         return "bindings_evicted";
     case forwarder_counter::store_reads:
--- a/testing/forwarding/forwarder_group.cpp
+++ b/testing/forwarding/forwarder_group.cpp
@@ -12,15 +12,32 @@
 constexpr duration message_delay = 500us;
 constexpr std::uint32_t handshake_sequence = 500000;
 
+/// Returns records of the servers 1 to `count`.
+std::vector<server_record> make_server_records(std::uint32_t count)
+{
+    std::vector<server_record> records;
+    for (std::uint32_t number = 1; number <= count; ++number)
+    {
+        records.push_back(make_server_record(number, 0));
+    }
+    return records;
+}
+
 } // namespace
 
 forwarder_group::forwarder_group(std::vector<std::string> data_centres,
                                  std::uint32_t server_count)
+    : forwarder_group(std::move(data_centres),
+                      make_server_records(server_count))
 {
-    for (std::uint32_t number = 1; number <= server_count; ++number)
-    {
-        servers_.push_back(make_server_record(number, revision_));
-    }
+}
+
+forwarder_group::forwarder_group(std::vector<std::string> data_centres,
+                                 std::vector<server_record> servers,
+                                 unsigned token_hash_bits)
+    : token_hash_bits_(token_hash_bits)
+{
+    write_store(std::move(servers));
     for (std::size_t index = 0; index < data_centres.size(); ++index)
     {
         members_.push_back(
@@ -41,7 +58,8 @@
         .heartbeat_endpoint = started.address,
         .data_centre = started.data_centre,
         .incarnation = ++starts_,
-        .seeds = {members_.front().address, members_.back().address}});
+        .seeds = {members_.front().address, members_.back().address},
+        .token_hash_bits = token_hash_bits_});
     started.waiting.clear();
     started.is_frozen = false;
     deliver(index, timer_fired{});
@@ -87,15 +105,38 @@
 
 void forwarder_group::set_servers(std::vector<server_record> servers)
 {
-    servers_ = std::move(servers);
-    ++revision_;
+    write_store(std::move(servers));
     for (std::size_t index = 0; index < members_.size(); ++index)
     {
-        if (members_[index].reducer)
+        read_store(index);
+    }
+}
+
+void forwarder_group::write_store(std::vector<server_record> servers)
+{
+    for (auto& record : servers)
+    {
+        auto const stored =
+            std::ranges::find(servers_, record.name, &server_record::name);
+        auto const is_new = stored == servers_.end();
+        record.revision = {is_new ? 0 : stored->revision.value};
+        record.created = is_new ? 0 : stored->created;
+        if (is_new || record != *stored)
         {
-            execute(index, read_snapshot{});
+            record.revision = {++revision_};
+            record.created = is_new ? revision_ : record.created;
         }
     }
+    servers_ = std::move(servers);
+    ++revision_; // Entries that are missing now were removed by then.
+}
+
+void forwarder_group::read_store(std::size_t index)
+{
+    if (members_[index].reducer)
+    {
+        execute(index, read_snapshot{});
+    }
 }
 
 std::size_t forwarder_group::count_logged(decision type) const
@@ -273,6 +314,12 @@
     members_[index].timer_at = requested_effect.deadline;
 }
 
+void forwarder_group::execute(std::size_t /*index*/,
+                              refuse_flow const& /*requested_effect*/)
+{
+    ++refused_flows_;
+}
+
 void forwarder_group::execute(std::size_t /*index*/,
                               log_decision const& requested_effect)
 {
--- a/testing/forwarding/forwarder_group.hpp
+++ b/testing/forwarding/forwarder_group.hpp
@@ -36,6 +36,11 @@
     forwarder_group(std::vector<std::string> data_centres,
                     std::uint32_t server_count);
 
+    /// Same, with these servers, and with tokens of fewer bits.
+    forwarder_group(std::vector<std::string> data_centres,
+                    std::vector<server_record> servers,
+                    unsigned token_hash_bits = max_token_hash_bits);
+
     /// Hands a packet to a forwarder, and lets messages between forwarders
     /// arrive for `response_time`. Returns the last packet that was forwarded
     /// to a server meanwhile; empty if there was none.
@@ -64,8 +69,20 @@
     /// Drops all messages between two forwarders.
     void cut(std::size_t first, std::size_t second);
 
-    /// Hands the directories of all forwarders these servers only.
+    /// Replaces the servers of the store, and lets all forwarders read it.
     void set_servers(std::vector<server_record> servers);
+    /// Replaces the servers of the store, which no forwarder reads before it
+    /// restarts, apart from by `read_store`. Sets the revisions of the entries
+    /// that are new or changed, in their order here.
+    void write_store(std::vector<server_record> servers);
+    /// Lets a forwarder read the store.
+    void read_store(std::size_t index);
+
+    /// Returns what a forwarder reports of itself.
+    [[nodiscard]] forwarder_gauges gauges(std::size_t index) const
+    {
+        return members_[index].reducer->gauges(now_);
+    }
 
     /// Number of messages with bindings, responses included.
     [[nodiscard]] std::size_t binding_messages() const
@@ -73,6 +90,12 @@
         return binding_messages_;
     }
 
+    /// Number of flows that forwarders refused.
+    [[nodiscard]] std::size_t refused_flows() const
+    {
+        return refused_flows_;
+    }
+
     /// Number of log entries of a type, of all forwarders.
     [[nodiscard]] std::size_t count_logged(decision type) const;
 
@@ -111,6 +134,7 @@
     void execute(std::size_t index, read_snapshot const& requested_effect);
     void execute(std::size_t index, set_timer const& requested_effect);
     void execute(std::size_t index, log_decision const& requested_effect);
+    void execute(std::size_t index, refuse_flow const& requested_effect);
 
     /// Other effects have no consequences here.
     template <class Other>
@@ -129,11 +153,13 @@
     std::deque<message> messages_{};
     std::set<std::pair<std::size_t, std::size_t>> cuts_{};
     std::vector<server_record> servers_{};
-    std::uint64_t revision_ = 10;
+    unsigned token_hash_bits_ = max_token_hash_bits;
+    std::uint64_t revision_ = 9; ///< Of the store.
     std::uint64_t starts_ = 0;
     std::vector<forward_packet> forwarded_{};
     std::vector<decision> logged_{};
     std::size_t binding_messages_ = 0;
+    std::size_t refused_flows_ = 0;
 };
 
 } // namespace dotterelrouter::testing
--- a/testing/forwarding/model_store.cpp
+++ b/testing/forwarding/model_store.cpp
@@ -36,6 +36,9 @@
 void model_store::write_server(server_record record)
 {
     record.revision = next_revision();
+    auto const* const existing = find(record.name);
+    record.created =
+        existing == nullptr ? record.revision.value : existing->created;
     contents_.servers[record.name] = record;
     add_to_history(record);
 }
--- a/testing/forwarding/openings_neighbours_test.cpp
+++ b/testing/forwarding/openings_neighbours_test.cpp
@@ -60,10 +60,9 @@
         group.send(
             1,
             of_later_flow(forwarder_group::acknowledgement(port, later.token)));
-        auto const moved =
-            group.send(0,
-                       of_later_flow(forwarder_group::request(
-                           port, token_of(server_id_in(later.token)))));
+        auto const moved = group.send(0,
+                                      of_later_flow(forwarder_group::request(
+                                          port, as_settled(later.token))));
         CHECK(moved.has_value());
         CHECK_EQUAL(later.server_number, moved->server_number);
         moved_flows += later.server_number != earlier.server_number ? 1U : 0U;
@@ -79,14 +78,14 @@
     group.restart(0);
     group.advance(1s);
     auto const other_server = 10 - first.server_number - second.server_number;
-    auto const token = opening_token_of(server_id_for_number(
+    auto const token = as_opening(token_of_server(
         static_cast<std::uint32_t>(other_server > 4 ? 1 : other_server)));
     for (std::size_t index = 0; index < 3; ++index)
     {
         auto const forwarded = group.send(
             index, of_later_flow(forwarder_group::request(1, token)));
         CHECK(forwarded.has_value());
-        CHECK(server_id_in(forwarded->token) == server_id_in(token));
+        CHECK(as_settled(forwarded->token) == as_settled(token));
     }
 }
 
@@ -114,7 +113,7 @@
 {
     forwarder_group group{{"a"}, 2};
     group.send(0, forwarder_group::first_packet(1));
-    auto const unknown = opening_token_of(server_id_for_number(77));
+    auto const unknown = as_opening(token_of_server(77));
     CHECK(!group.send(0, forwarder_group::acknowledgement(1, unknown))
                .has_value());
 }
--- a/testing/forwarding/openings_test.cpp
+++ b/testing/forwarding/openings_test.cpp
@@ -253,14 +253,12 @@
     for (int i = 0; i < 4; ++i)
     {
         group.advance(50ms);
-        group.send(
-            0, forwarder_group::request(9, token_of(server_id_for_number(1))));
+        group.send(0, forwarder_group::request(9, token_of_server(1)));
     }
     auto const first = *group.send(0, forwarder_group::first_packet(1));
     group.send(0, forwarder_group::acknowledgement(1, first.token));
     group.advance(caller_pause);
-    group.send(
-        3, forwarder_group::request(1, token_of(server_id_in(first.token))));
+    group.send(3, forwarder_group::request(1, as_settled(first.token)));
     CHECK_EQUAL(0U, group.binding_messages());
 }
 
--- a/testing/forwarding/records.hpp
+++ b/testing/forwarding/records.hpp
@@ -34,14 +34,21 @@
     record.slots = 3;
     record.state = state;
     record.revision = {revision};
+    record.created = number;
     return record;
 }
 
-/// Returns the id of the server that make_server_record() builds for this
+/// Returns the name of the server that make_server_record() builds for this
 /// number.
-inline server_id server_id_for_number(std::uint32_t number)
+inline std::string server_name(std::uint32_t number)
 {
-    return server_id_from_name("s" + std::to_string(number));
+    return "s" + std::to_string(number);
+}
+
+/// Returns the settled token of that server, unless it shares it.
+inline route_token token_of_server(std::uint32_t number)
+{
+    return tokens_of_name(server_name(number)).front();
 }
 
 /// Returns a route table with a single route, from `service_address` to
--- a/testing/process/forwarder_process_test.cpp
+++ b/testing/process/forwarder_process_test.cpp
@@ -242,7 +242,7 @@
         make_packet(caller_ip,
                     4001,
                     data_flag,
-                    token_of(server_id_in(route_token{token})).value,
+                    as_settled(route_token{token}).value,
                     "GET / HTTP/1.1\r\nX-Request-Id: abc\r\n\r\n");
     auto const received_through_two = send_and_receive(2, data_packet);
     CHECK(received_through_two.substr(server_number_size) == settled_packet);
