Learn servers that were removed before the start from a peer

A forwarder that starts reads the servers of the store. One whose entry has lapsed, and which is alive, is missing there, while other forwarders still send it the packets of its open flows. So the new process dropped these packets; and if another server has the same token, it took that server for the missing one and sent it the flows.

Change: a forwarder that starts among others asks a peer for the servers that are expired or gone, with their ages, so that no state of theirs begins anew, and whether they have drained.

Tests: restarted_forwarder_learns_of_servers_that_were_removed failed without the change; settings and codec tests.

--- a/dotterelrouter/codec/internal/replication_codec.hpp
+++ b/dotterelrouter/codec/internal/replication_codec.hpp
@@ -15,6 +15,16 @@
 /// Maximum size of an encoded heartbeat, in bytes. It fits into one datagram.
 inline constexpr std::size_t max_heartbeat_size = 1200;
 
+/// What a forwarder requests of another one's directory.
+struct changes_query
+{
+    directory_version after{};         ///< Of the requester's directory.
+    bool with_removed_servers = false; ///< See directory_update.
+
+    friend bool operator==(changes_query const&,
+                           changes_query const&) = default;
+};
+
 /// Response of a forwarder to a request for changes of its directory.
 struct directory_response
 {
@@ -40,12 +50,12 @@
 [[nodiscard]] std::optional<binding_message> decode_bindings(byte_view bytes);
 
 /// Encodes the query of an HTTP request for what a directory of this version
-/// lacks, such as after=90&era=2&routes=11.
-[[nodiscard]] std::string encode_changes_query(directory_version after);
-/// Decodes such a query. A missing era or version of the routes counts as 0;
-/// unknown parameters are ignored. Returns nullopt without a revision, or if a
-/// value is not a number.
-[[nodiscard]] std::optional<directory_version>
+/// lacks, such as after=90&era=2&routes=11&removed=1.
+[[nodiscard]] std::string encode_changes_query(changes_query const& query);
+/// Decodes such a query. Missing parameters other than the revision count as 0;
+/// unknown ones are ignored. Returns nullopt without a revision, or if a value
+/// is not a number.
+[[nodiscard]] std::optional<changes_query>
 decode_changes_query(std::string_view query);
 
 /// Encodes changes of a directory. `age` is the age of the sender's directory,
--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -27,6 +27,7 @@
 constexpr std::string_view after_parameter = "after=";
 constexpr std::string_view era_parameter = "era=";
 constexpr std::string_view routes_parameter = "routes=";
+constexpr std::string_view removed_parameter = "removed=";
 
 /// Reads the number after `name` into `out` if the parameter has that name.
 /// Returns false if it has, but another value than a number.
@@ -170,6 +171,20 @@
            from_milliseconds(in.cold_ms(), out.cold_remaining);
 }
 
+void to_wire(removed_server const& value, wire::RemovedServer& out)
+{
+    to_wire(value.record, *out.mutable_server());
+    out.set_age_us(age_to_wire(value.age) - 1);
+    out.set_drained(value.has_drained);
+}
+
+bool from_wire(wire::RemovedServer const& in, removed_server& out)
+{
+    out.age = microseconds{std::min(in.age_us(), max_duration_us)};
+    out.has_drained = in.drained();
+    return from_wire(in.server(), out.record);
+}
+
 void to_wire(flow_binding const& value, wire::FlowBinding& out)
 {
     out.set_caller_ip(value.flow.caller.ip);
@@ -264,17 +279,22 @@
     return message;
 }
 
-std::string encode_changes_query(directory_version after)
+std::string encode_changes_query(changes_query const& query)
 {
+    auto const& after = query.after;
     return std::string{after_parameter} + std::to_string(after.revision.value) +
            '&' + std::string{era_parameter} +
            std::to_string(after.revision.era) + '&' +
-           std::string{routes_parameter} + std::to_string(after.routes_version);
+           std::string{routes_parameter} +
+           std::to_string(after.routes_version) + '&' +
+           std::string{removed_parameter} +
+           (query.with_removed_servers ? "1" : "0");
 }
 
-std::optional<directory_version> decode_changes_query(std::string_view query)
+std::optional<changes_query> decode_changes_query(std::string_view query)
 {
     directory_version after;
+    std::uint64_t with_removed = 0;
     auto has_revision = false;
     while (!query.empty())
     {
@@ -283,12 +303,14 @@
         has_revision |= parameter.starts_with(after_parameter);
         if (!read_number(parameter, after_parameter, after.revision.value) ||
             !read_number(parameter, era_parameter, after.revision.era) ||
-            !read_number(parameter, routes_parameter, after.routes_version))
+            !read_number(parameter, routes_parameter, after.routes_version) ||
+            !read_number(parameter, removed_parameter, with_removed))
         {
             return std::nullopt;
         }
     }
-    return has_revision ? std::optional{after} : std::nullopt;
+    return has_revision ? std::optional{changes_query{after, with_removed != 0}}
+                        : std::nullopt;
 }
 
 std::string encode_directory_update(directory_update const& update,
@@ -307,6 +329,12 @@
     {
         to_wire(server, *out.add_servers());
     }
+    out.set_lists_removed_servers(update.removed_servers.has_value());
+    for (auto const& removed :
+         update.removed_servers.value_or(std::vector<removed_server>{}))
+    {
+        to_wire(removed, *out.add_removed_servers());
+    }
     return out.SerializeAsString();
 }
 
@@ -337,6 +365,18 @@
             return std::nullopt;
         }
     }
+    if (!in.lists_removed_servers())
+    {
+        return response;
+    }
+    auto& removed_servers = response.update.removed_servers.emplace();
+    for (auto const& removed : in.removed_servers())
+    {
+        if (!from_wire(removed, removed_servers.emplace_back()))
+        {
+            return std::nullopt;
+        }
+    }
     return response;
 }
 
--- a/dotterelrouter/codec/replication_codec_test.cpp
+++ b/dotterelrouter/codec/replication_codec_test.cpp
@@ -123,26 +123,39 @@
     update.servers[0].started_ms = 1784097448532;
     update.servers[0].revision.era = 2;
     update.servers[0].created = 21;
+    update.removed_servers = {
+        {{make_server_record(3, 27, server_state::expired), 700ms, true}}};
     auto const decoded = decode_directory_update(
         as_byte_view(encode_directory_update(update, 5ms)));
     CHECK(decoded.has_value());
     CHECK(decoded->age == 5ms);
+    CHECK(decoded->update.removed_servers == update.removed_servers);
     CHECK(decoded->update.through == update.through);
     CHECK(decoded->update.complete);
     CHECK(*decoded->update.routes == *update.routes);
     CHECK(decoded->update.servers == update.servers);
+    update.removed_servers.reset();
+    CHECK(!decode_directory_update(
+               as_byte_view(encode_directory_update(update, 5ms)))
+               ->update.removed_servers);
 }
 
 TEST(replication_codec, changes_query_is_unchanged_after_round_trip)
 {
-    directory_version const after{{90, 2}, 11};
-    STRCMP_EQUAL("after=90&era=2&routes=11",
-                 encode_changes_query(after).c_str());
-    CHECK(decode_changes_query(encode_changes_query(after)) == after);
-    CHECK(decode_changes_query("after=90") == (directory_version{{90}}));
-    CHECK(decode_changes_query("x=1&after=90") == (directory_version{{90}}));
-    for (auto const* const invalid :
-         {"", "era=2", "after=", "after=x", "after=90&era=", "after=90&era=2x"})
+    changes_query const query{{{90, 2}, 11}, true};
+    STRCMP_EQUAL("after=90&era=2&routes=11&removed=1",
+                 encode_changes_query(query).c_str());
+    CHECK(decode_changes_query(encode_changes_query(query)) == query);
+    changes_query const shortest{{{90}}};
+    CHECK(decode_changes_query("after=90") == shortest);
+    CHECK(decode_changes_query("x=1&after=90") == shortest);
+    for (auto const* const invalid : {"",
+                                      "era=2",
+                                      "after=",
+                                      "after=x",
+                                      "after=90&era=",
+                                      "after=90&era=2x",
+                                      "after=90&removed=x"})
     {
         CHECK(!decode_changes_query(invalid).has_value());
     }
@@ -159,6 +172,7 @@
     directory_update update;
     update.routes = make_route_table(4, 20);
     update.servers = {make_server_record(1, 25)};
+    update.removed_servers = {{{make_server_record(2, 26), 1s}}};
     auto const valid_bytes = encode_directory_update(update, 5ms);
     for (int iteration = 0; iteration < iterations; ++iteration)
     {
--- a/dotterelrouter/directory/directory.cpp
+++ b/dotterelrouter/directory/directory.cpp
@@ -109,6 +109,11 @@
     directory_changes changes;
     log_rollback(update.through, out);
     changes.routes_changed = merge_routes(update.routes, out);
+    for (auto const& removed :
+         update.removed_servers.value_or(std::vector<removed_server>{}))
+    {
+        add_removed_server(removed, now, changes, out);
+    }
     for (auto const& record : update.servers)
     {
         merge_server(record, now, changes, out);
@@ -234,6 +239,21 @@
     return added;
 }
 
+void directory::add_removed_server(removed_server const& removed,
+                                   instant now,
+                                   directory_changes& changes,
+                                   forwarder_effects& out)
+{
+    if (ids_by_name_.contains(removed.record.name) ||
+        removed.age >= gone_retention_period)
+    {
+        return;
+    }
+    auto& server = add_server(removed.record, now, changes, out);
+    server.changed_at = now.steady - removed.age;
+    server.has_drained = removed.has_drained;
+}
+
 void directory::erase_server(server_id id, forwarder_effects& out)
 {
     auto const found = servers_.find(id);
@@ -448,6 +468,22 @@
     return found == servers.end() ? nullptr : *found;
 }
 
+std::vector<removed_server> directory::removed_servers(instant now) const
+{
+    std::vector<removed_server> removed;
+    for (auto const& [id, server] : servers_)
+    {
+        if (server.record.state == server_state::expired ||
+            server.record.state == server_state::gone)
+        {
+            removed.push_back({server.record,
+                               duration{now.steady - server.changed_at},
+                               server.has_drained});
+        }
+    }
+    return removed;
+}
+
 directory_update directory::changes_after(directory_version after,
                                           instant now) const
 {
--- a/dotterelrouter/directory/directory.hpp
+++ b/dotterelrouter/directory/directory.hpp
@@ -154,6 +154,10 @@
     [[nodiscard]] server_entry const* first_server_of(route_token token,
                                                       instant now) const;
 
+    /// Returns the servers that are expired or gone and not erased yet.
+    [[nodiscard]] std::vector<removed_server>
+    removed_servers(instant now) const;
+
     /// Returns what a directory of version `after` lacks. The update is
     /// complete if that directory has revision 0 or one of an earlier era, or
     /// if changes after it may have been erased. Linear in the number of
@@ -173,6 +177,12 @@
                              instant now,
                              directory_changes& changes,
                              forwarder_effects& out);
+    /// Adds a server that was removed before this directory was filled, so that
+    /// packets of its open flows find it.
+    void add_removed_server(removed_server const& removed,
+                            instant now,
+                            directory_changes& changes,
+                            forwarder_effects& out);
     void erase_server(server_id id, forwarder_effects& out);
     /// Gives each server that has one of these tokens one of its own, if there
     /// is any.
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -21,6 +21,10 @@
 /// store, which serves whole directories better than a peer, whose link may be
 /// narrow.
 constexpr duration store_read_grace_period = std::chrono::milliseconds{50};
+/// Time after the start in which a peer is asked for the servers that were
+/// removed before. By then some peer has responded that knows them, or all
+/// started at the same time.
+constexpr duration removed_servers_request_period = std::chrono::seconds{2};
 /// Age from which a directory is logged as lost.
 constexpr duration directory_age_warning_threshold = std::chrono::seconds{3};
 /// Maximum transit time of a heartbeat; added to the age that it reports.
@@ -53,7 +57,8 @@
               .seeds = std::move(settings.seeds)}),
       reader_(settings.incarnation), reachability_(data_centre_),
       bindings_({.data_centre = data_centre_,
-                 .flow_lifetime = settings.flow_lifetime})
+                 .flow_lifetime = settings.flow_lifetime}),
+      has_removed_servers_(settings.is_first_start)
 {
 }
 
@@ -68,7 +73,10 @@
         last_event_at_ = now.steady;
         // The socket is older than the first event by an unknown time.
         queue_ends_at_ = now.steady + internal::resume_grace_period;
-        out.push_back(log_decision{.type = decision::started});
+        out.push_back(log_decision{
+            .type = decision::started,
+            .reason = has_removed_servers_ ? "first start of the whole fleet"
+                                           : "start among others"});
     }
     detect_pause(now, out);
     std::visit(
@@ -170,6 +178,10 @@
         freshness_.on_confirmed(*next_event.message.age + max_heartbeat_delay,
                                 now);
     }
+    if (!next_event.message.reply_requested && needs_removed_servers(now))
+    {
+        request_changes_from(next_event.from, now, out);
+    }
     if (outcome.is_sender_new || next_event.message.reply_requested)
     {
         peers_.send_heartbeat_to(next_event.from, make_heartbeat(now), out);
@@ -180,10 +192,14 @@
                    instant now,
                    forwarder_effects& out)
 {
-    out.push_back(
-        send_changes{.call_id = next_event.call_id,
-                     .update = directory_.changes_after(next_event.after, now),
-                     .age = freshness_.age(now)});
+    auto update = directory_.changes_after(next_event.after, now);
+    if (next_event.with_removed_servers && !needs_removed_servers(now))
+    {
+        update.removed_servers = directory_.removed_servers(now);
+    }
+    out.push_back(send_changes{.call_id = next_event.call_id,
+                               .update = std::move(update),
+                               .age = freshness_.age(now)});
 }
 
 void forwarder::on(peer_changes_received const& next_event,
@@ -191,6 +207,7 @@
                    forwarder_effects& out)
 {
     peers_.complete_change_request(next_event.from);
+    has_removed_servers_ |= next_event.update.removed_servers.has_value();
     apply_update(next_event.update, now, out);
     if (next_event.age && directory_.revision() == next_event.update.through)
     {
@@ -337,9 +354,26 @@
         return;
     }
     auto const peer = peers_.most_advanced_peer(directory_.version());
-    if (peer && peers_.begin_change_request(*peer, now))
+    if (peer)
+    {
+        request_changes_from(*peer, now, out);
+    }
+}
+
+bool forwarder::needs_removed_servers(instant now) const
+{
+    return !has_removed_servers_ &&
+           now.steady - *started_at_ < removed_servers_request_period;
+}
+
+void forwarder::request_changes_from(endpoint peer,
+                                     instant now,
+                                     forwarder_effects& out)
+{
+    if (peers_.begin_change_request(peer, now))
     {
-        out.push_back(request_changes{*peer, directory_.version()});
+        out.push_back(request_changes{
+            peer, directory_.version(), needs_removed_servers(now)});
     }
 }
 
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -44,6 +44,9 @@
     std::vector<endpoint> seeds{};
     /// Age from which a flow may be discarded.
     duration flow_lifetime = std::chrono::seconds{60};
+    /// Whether the whole fleet starts for the first time, so that no flow can
+    /// be open that began before.
+    bool is_first_start = false;
     /// Size of the hash in tokens; see tokens_of_name().
     unsigned token_hash_bits = max_token_hash_bits;
 };
@@ -289,6 +292,12 @@
                       forwarder_effects& out);
     /// Requests changes from a peer whose directory is ahead of this one.
     void request_changes_if_behind(instant now, forwarder_effects& out);
+    /// Whether servers are unknown here that were removed before this process
+    /// started, and peers may know them.
+    [[nodiscard]] bool needs_removed_servers(instant now) const;
+    /// Requests changes from a peer, unless others were requested recently.
+    void
+    request_changes_from(endpoint peer, instant now, forwarder_effects& out);
     /// Records that the directory is current if an update through this revision
     /// brings it up to date, which one of an earlier era of the store does not.
     void confirm_unless_outdated(store_revision through, instant now);
@@ -341,6 +350,7 @@
     bool was_reader_ = false;
     bool reported_directory_lost_ = false;
     bool exit_requested_ = false;
+    bool has_removed_servers_; ///< See needs_removed_servers().
     /// Number of unreadable entries of the last read.
     std::uint32_t reported_unreadable_entries_ = 0;
 };
--- a/dotterelrouter/forwarder/forwarder_test.cpp
+++ b/dotterelrouter/forwarder/forwarder_test.cpp
@@ -33,7 +33,8 @@
     forwarder state{{.heartbeat_endpoint = own_address,
                      .data_centre = "a",
                      .incarnation = 1,
-                     .seeds = {peer_address}}};
+                     .seeds = {peer_address},
+                     .is_first_start = true}};
 
     /// Reduces one event; `out` then holds only its effects.
     void dispatch(forwarder_event const& next_event)
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -349,10 +349,9 @@
                      .reason = "server of the flow is not in the directory",
                      .revision = directory_.revision(),
                      .age = freshness_.age(now)});
-    if (auto const peer = peers_.any_live_peer();
-        peer && peers_.begin_change_request(*peer, now))
+    if (auto const peer = peers_.any_live_peer())
     {
-        out.push_back(request_changes{*peer, directory_.version()});
+        request_changes_from(*peer, now, out);
     }
 }
 
--- a/dotterelrouter/forwarding/internal/effects.hpp
+++ b/dotterelrouter/forwarding/internal/effects.hpp
@@ -67,6 +67,7 @@
 {
     endpoint peer{};
     directory_version after{}; ///< Version of this forwarder's directory.
+    bool with_removed_servers = false; ///< See directory_update.
 };
 
 /// Responds to another forwarder's request for changes.
--- a/dotterelrouter/forwarding/internal/events.hpp
+++ b/dotterelrouter/forwarding/internal/events.hpp
@@ -78,6 +78,7 @@
 {
     std::uint64_t call_id = 0; ///< Identifies the call in `send_changes`.
     directory_version after{}; ///< Version of the requester's directory.
+    bool with_removed_servers = false; ///< See directory_update.
 };
 
 /// Another forwarder responded to a request for changes.
--- a/dotterelrouter/forwarding/internal/records.hpp
+++ b/dotterelrouter/forwarding/internal/records.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,17 @@
                            server_record const&) = default;
 };
 
+/// A server that the store no longer lists, as a directory knows it.
+struct removed_server
+{
+    server_record record{};   ///< In state `expired` or `gone`.
+    duration age{};           ///< Time since it changed to that state.
+    bool has_drained = false; ///< Since its last start.
+
+    friend bool operator==(removed_server const&,
+                           removed_server const&) = default;
+};
+
 /// How far a directory has come. A store that came back from an older copy may
 /// hold older routes than the directories that followed it.
 struct directory_version
@@ -110,6 +122,10 @@
     bool complete = false;
     std::shared_ptr<route_table const> routes{}; ///< Null if unchanged.
     std::vector<server_record> servers{};
+    /// Removed servers whose flows may still be open, for a forwarder that
+    /// started after they were removed; empty if they were not requested or the
+    /// sender may not know them.
+    std::optional<std::vector<removed_server>> removed_servers{};
 };
 
 } // namespace dotterelrouter
--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -78,7 +78,8 @@
                     .data_centre = settings_.data_centre_name,
                     .incarnation = random_incarnation(),
                     .seeds = seed_endpoints(settings_),
-                    .flow_lifetime = settings_.flow_lifetime})
+                    .flow_lifetime = settings_.flow_lifetime,
+                    .is_first_start = settings_.is_first_start})
     {
         reducer_timer_.set_deadline(clock_.now().steady);
         settings_check_timer_.set_deadline(clock_.now().steady +
@@ -372,14 +373,15 @@
 
     void on_changes_request(http_port_request const& request)
     {
-        auto const after = decode_changes_query(request.query);
-        if (!after)
+        auto const query = decode_changes_query(request.query);
+        if (!query)
         {
             control_port_.respond(request.exchange,
                                   {.status = status_bad_request});
             return;
         }
-        deliver(changes_requested{request.exchange.value, *after});
+        deliver(changes_requested{
+            request.exchange.value, query->after, query->with_removed_servers});
     }
 
     static void on_snapshot_response(void* self, http_response const& response)
@@ -497,8 +499,10 @@
     http_request request;
     request.destination = {requested_effect.peer.ip,
                            settings_.control_endpoint.port};
-    request.path = std::string(changes_path) + "?" +
-                   encode_changes_query(requested_effect.after);
+    request.path =
+        std::string(changes_path) + "?" +
+        encode_changes_query(
+            {requested_effect.after, requested_effect.with_removed_servers});
     request.timeout = changes_request_timeout;
     http_client_.start(
         request,
--- a/testing/forwarding/fleet_nodes.cpp
+++ b/testing/forwarding/fleet_nodes.cpp
@@ -134,7 +134,9 @@
                          (forwarders_[index].generation & UINT32_MAX);
     schedule_delivery(*receiver,
                       peer_delay,
-                      changes_requested{call_id, requested_effect.after});
+                      changes_requested{call_id,
+                                        requested_effect.after,
+                                        requested_effect.with_removed_servers});
 }
 
 void forwarder_fleet_simulation::execute(std::size_t index,
--- a/testing/forwarding/forwarder_group.cpp
+++ b/testing/forwarding/forwarder_group.cpp
@@ -308,6 +308,30 @@
     messages_.push_back({now_.steady + message_delay, index, std::move(page)});
 }
 
+void forwarder_group::execute(std::size_t index,
+                              request_changes const& requested_effect)
+{
+    if (shares_directories_)
+    {
+        post(index,
+             requested_effect.peer,
+             changes_requested{index,
+                               requested_effect.after,
+                               requested_effect.with_removed_servers});
+    }
+}
+
+void forwarder_group::execute(std::size_t index,
+                              send_changes const& requested_effect)
+{
+    auto const requester = static_cast<std::size_t>(requested_effect.call_id);
+    post(index,
+         members_[requester].address,
+         peer_changes_received{members_[index].address,
+                               requested_effect.update,
+                               requested_effect.age});
+}
+
 void forwarder_group::execute(std::size_t index,
                               set_timer const& requested_effect)
 {
--- a/testing/forwarding/forwarder_group.hpp
+++ b/testing/forwarding/forwarder_group.hpp
@@ -78,6 +78,13 @@
     /// Lets a forwarder read the store.
     void read_store(std::size_t index);
 
+    /// Lets forwarders respond to each other's requests for changes of their
+    /// directories. They don't otherwise, so that each knows what it has read.
+    void share_directories()
+    {
+        shares_directories_ = true;
+    }
+
     /// Returns what a forwarder reports of itself.
     [[nodiscard]] forwarder_gauges gauges(std::size_t index) const
     {
@@ -132,6 +139,8 @@
     void execute(std::size_t index, send_heartbeat const& requested_effect);
     void execute(std::size_t index, send_bindings const& requested_effect);
     void execute(std::size_t index, read_snapshot const& requested_effect);
+    void execute(std::size_t index, request_changes const& requested_effect);
+    void execute(std::size_t index, send_changes const& requested_effect);
     void execute(std::size_t index, set_timer const& requested_effect);
     void execute(std::size_t index, log_decision const& requested_effect);
     void execute(std::size_t index, refuse_flow const& requested_effect);
@@ -160,6 +169,7 @@
     std::vector<decision> logged_{};
     std::size_t binding_messages_ = 0;
     std::size_t refused_flows_ = 0;
+    bool shares_directories_ = false;
 };
 
 } // namespace dotterelrouter::testing
--- a/testing/forwarding/shared_tokens_test.cpp
+++ b/testing/forwarding/shared_tokens_test.cpp
@@ -353,6 +353,32 @@
     }
 }
 
+/// The entry of the older server lapsed before a forwarder restarted, and the
+/// newer one registered. The forwarder sent the open flows of the older one,
+/// which it had never read of, to the newer one.
+TEST(shared_tokens, restarted_forwarder_learns_of_servers_that_were_removed)
+{
+    for (int i = 0; i < pair_count; ++i)
+    {
+        auto const servers = next_pair();
+        forwarder_group group{{"a", "a", "a"}, {servers.older, servers.other}};
+        group.share_directories();
+        auto flows = open_flows(group, 0);
+        group.set_servers({servers.other});
+        group.advance(1s);
+        for (std::size_t index = 0; index < group_size; ++index)
+        {
+            group.restart(index);
+            group.advance(1s);
+        }
+        group.set_servers({servers.newer, servers.other});
+        group.advance(1s);
+        check_none_reaches_another(group, flows);
+        auto const opened = open_flows(group, 1);
+        check_all_reach_their_servers(group, opened);
+    }
+}
+
 /// Data centres have keepers of their own.
 TEST(shared_tokens, open_flows_keep_their_servers_across_data_centres)
 {
