Know services of the forwarding path by their names

Two services whose names have the same hash were one to a forwarder, and requests of a route went to the servers of both.

Change: routes, entries, the directory, load shedding and the messages between forwarders name services. A message lists each name once and refers to it by index, so that a route costs no more bytes than before.

Tests: flows_go_to_no_service_whose_name_has_the_same_hash searches a pair; it failed on the code before.

--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -6,8 +6,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <span>
+#include <string>
 #include <string_view>
 #include <system_error>
+#include <vector>
 
 namespace dotterelrouter
 {
@@ -82,14 +85,57 @@
     return count <= max_duration_ms;
 }
 
-void to_wire(route const& value, wire::Route& out)
+/// Names in a message to which other fields refer by index.
+class name_table
+{
+public:
+    /// Returns the index of a name, which is added if it is new.
+    std::uint32_t index_of(std::string_view name)
+    {
+        auto const found = indexes_.find(name);
+        if (found != indexes_.end())
+        {
+            return found->second;
+        }
+        auto const index = static_cast<std::uint32_t>(names_.size());
+        indexes_.emplace(name, index);
+        names_.emplace_back(name);
+        return index;
+    }
+
+    /// Returns all names in the order of their indexes.
+    [[nodiscard]] std::span<std::string const> names() const
+    {
+        return names_;
+    }
+
+private:
+    string_map<std::uint32_t> indexes_;
+    std::vector<std::string> names_;
+};
+
+/// The names that a message contains.
+using wire_names = google::protobuf::RepeatedPtrField<std::string>;
+
+/// Reads the name at an index. Returns false if there is none.
+bool read_name(wire_names const& names, std::uint32_t index, std::string& out)
+{
+    if (index >= static_cast<std::uint32_t>(names.size()))
+    {
+        return false;
+    }
+    out = names.Get(static_cast<int>(index));
+    return true;
+}
+
+void to_wire(route const& value, name_table& services, wire::Route& out)
 {
     out.set_ip(value.address.ip);
     out.set_port(value.address.port);
-    for (auto const target : value.targets)
+    for (auto const& target : value.targets)
     {
         auto& target_out = *out.add_targets();
-        target_out.set_service(target.service.value);
+        target_out.set_service(services.index_of(target.service));
         target_out.set_weight(target.weight);
     }
     out.set_idempotent(value.idempotent);
@@ -98,12 +144,17 @@
     out.set_target_ms(to_milliseconds(value.target_latency));
 }
 
-bool from_wire(wire::Route const& in, route& out)
+bool from_wire(wire::Route const& in, wire_names const& services, route& out)
 {
     out.address.ip = in.ip();
     for (auto const& target : in.targets())
     {
-        out.targets.push_back({{target.service()}, target.weight()});
+        auto& target_out = out.targets.emplace_back();
+        target_out.weight = target.weight();
+        if (!read_name(services, target.service(), target_out.service))
+        {
+            return false;
+        }
     }
     out.idempotent = in.idempotent();
     return narrow(in.port(), out.address.port) &&
@@ -112,7 +163,9 @@
            from_milliseconds(in.target_ms(), out.target_latency);
 }
 
-void to_wire(route_table const& value, wire::RouteTable& out)
+void to_wire(route_table const& value,
+             name_table& services,
+             wire::RouteTable& out)
 {
     out.set_version(value.version);
     out.set_revision(value.revision.value);
@@ -120,17 +173,19 @@
     out.set_idle_timeout_ms(to_milliseconds(value.idle_timeout));
     for (auto const& entry : value.routes)
     {
-        to_wire(entry, *out.add_routes());
+        to_wire(entry, services, *out.add_routes());
     }
 }
 
-bool from_wire(wire::RouteTable const& in, route_table& out)
+bool from_wire(wire::RouteTable const& in,
+               wire_names const& services,
+               route_table& out)
 {
     out.version = in.version();
     out.revision = {in.revision(), in.era()};
     for (auto const& entry : in.routes())
     {
-        if (!from_wire(entry, out.routes.emplace_back()))
+        if (!from_wire(entry, services, out.routes.emplace_back()))
         {
             return false;
         }
@@ -138,11 +193,13 @@
     return from_milliseconds(in.idle_timeout_ms(), out.idle_timeout);
 }
 
-void to_wire(server_record const& value, wire::Server& out)
+void to_wire(server_record const& value,
+             name_table& services,
+             wire::Server& out)
 {
     out.set_name(value.name);
     out.set_number(value.number);
-    out.set_service(value.service.value);
+    out.set_service(services.index_of(value.service));
     out.set_ip(value.address.ip);
     out.set_port(value.address.port);
     out.set_data_centre(value.data_centre.value);
@@ -155,11 +212,12 @@
     out.set_created(value.created);
 }
 
-bool from_wire(wire::Server const& in, server_record& out)
+bool from_wire(wire::Server const& in,
+               wire_names const& services,
+               server_record& out)
 {
     out.name = in.name();
     out.number = in.number();
-    out.service.value = in.service();
     out.address.ip = in.ip();
     out.data_centre.value = in.data_centre();
     out.started_ms = in.started_ms();
@@ -168,21 +226,26 @@
     return narrow(in.port(), out.address.port) &&
            narrow(in.slots(), out.slots) &&
            to_enumerator(in.state(), server_state::gone, out.state) &&
+           read_name(services, in.service(), out.service) &&
            from_milliseconds(in.cold_ms(), out.cold_remaining);
 }
 
-void to_wire(removed_server const& value, wire::RemovedServer& out)
+void to_wire(removed_server const& value,
+             name_table& services,
+             wire::RemovedServer& out)
 {
-    to_wire(value.record, *out.mutable_server());
+    to_wire(value.record, services, *out.mutable_server());
     out.set_age_us(age_to_wire(value.age) - 1);
     out.set_drained(value.has_drained);
 }
 
-bool from_wire(wire::RemovedServer const& in, removed_server& out)
+bool from_wire(wire::RemovedServer const& in,
+               wire_names const& services,
+               removed_server& out)
 {
     out.age = microseconds{std::min(in.age_us(), max_duration_us)};
     out.has_drained = in.drained();
-    return from_wire(in.server(), out.record);
+    return from_wire(in.server(), services, out.record);
 }
 
 void to_wire(flow_binding const& value, wire::FlowBinding& out)
@@ -317,23 +380,28 @@
                                     std::optional<duration> age)
 {
     wire::DirectoryUpdate out;
+    name_table services;
     out.set_through(update.through.value);
     out.set_era(update.through.era);
     out.set_complete(update.complete);
     out.set_age_us_and_one(age_to_wire(age));
     if (update.routes)
     {
-        to_wire(*update.routes, *out.mutable_routes());
+        to_wire(*update.routes, services, *out.mutable_routes());
     }
     for (auto const& server : update.servers)
     {
-        to_wire(server, *out.add_servers());
+        to_wire(server, services, *out.add_servers());
     }
     out.set_lists_removed_servers(update.removed_servers.has_value());
     for (auto const& removed :
          update.removed_servers.value_or(std::vector<removed_server>{}))
     {
-        to_wire(removed, *out.add_removed_servers());
+        to_wire(removed, services, *out.add_removed_servers());
+    }
+    for (auto const& name : services.names())
+    {
+        out.add_services(name);
     }
     return out.SerializeAsString();
 }
@@ -352,7 +420,7 @@
     if (in.has_routes())
     {
         auto routes = std::make_shared<route_table>();
-        if (!from_wire(in.routes(), *routes))
+        if (!from_wire(in.routes(), in.services(), *routes))
         {
             return std::nullopt;
         }
@@ -360,7 +428,8 @@
     }
     for (auto const& server : in.servers())
     {
-        if (!from_wire(server, response.update.servers.emplace_back()))
+        if (!from_wire(
+                server, in.services(), response.update.servers.emplace_back()))
         {
             return std::nullopt;
         }
@@ -372,7 +441,7 @@
     auto& removed_servers = response.update.removed_servers.emplace();
     for (auto const& removed : in.removed_servers())
     {
-        if (!from_wire(removed, removed_servers.emplace_back()))
+        if (!from_wire(removed, in.services(), removed_servers.emplace_back()))
         {
             return std::nullopt;
         }
--- a/dotterelrouter/directory/directory.cpp
+++ b/dotterelrouter/directory/directory.cpp
@@ -69,11 +69,13 @@
     return restored == known.record;
 }
 
-/// Whether a server is gone for so long that no flow is open there.
+/// Whether no flow can be open at a server: it is gone for so long, or nothing
+/// but the removal of its entry is known.
 bool has_no_flows(server_entry const& server, instant now)
 {
     return server.record.state == server_state::gone &&
-           now.steady - server.changed_at >= max_flow_age_at_gone_server;
+           (server.record.address == endpoint{} ||
+            now.steady - server.changed_at >= max_flow_age_at_gone_server);
 }
 
 /// Whether the entry of the first server was in the store before that of the
@@ -347,18 +349,18 @@
             continue;
         }
         auto& entry = services_[server.record.service];
-        entry.id = server.record.service;
+        entry.name = server.record.service;
         entry.servers.push_back(
             {.id = id,
              .name = server.record.name,
              .name_hash = id_from_name(server.record.name),
-             .service = server.record.service,
+             .service = {}, // Found by its name here.
              .address = server.record.address,
              .data_centre = server.record.data_centre,
              .slots = server.record.slots,
              .draining = !accepts_new_flows(server.record)});
     }
-    for (auto& [id, entry] : services_)
+    for (auto& [name, entry] : services_)
     {
         std::ranges::sort(entry.servers, {}, &backend_server::id);
     }
@@ -418,9 +420,9 @@
                                        : &routes_->routes[found->second];
 }
 
-service const* directory::find_service(service_id id) const
+service const* directory::find_service(std::string_view name) const
 {
-    auto const found = services_.find(id);
+    auto const found = services_.find(name);
     return found == services_.end() ? nullptr : &found->second;
 }
 
--- a/dotterelrouter/directory/directory.hpp
+++ b/dotterelrouter/directory/directory.hpp
@@ -12,8 +12,9 @@
 // `gone` can be looked up for a while longer, because packets of their open
 // flows still arrive.
 //
-// Servers are known by their names. Two of them can have the same token: then
-// the directory says so, and each gets another one that names it alone.
+// Services and servers are known by their names. Two of them can have the same
+// token: then the directory says so, and each gets another one that names it
+// alone.
 //
 // A store that came back from an older copy starts a new era of revisions. Its
 // entries are merged as newer ones, except for those that are older by what the
@@ -131,7 +132,7 @@
     [[nodiscard]] route const* find_route(endpoint address) const;
     /// Returns a service with its servers that are not gone, including those
     /// that are draining, or null if it has none. Constant time.
-    [[nodiscard]] service const* find_service(service_id id) const;
+    [[nodiscard]] service const* find_service(std::string_view name) const;
     /// Returns a server, or null if it is unknown. Finds servers in state
     /// `gone` until their retention period is over. Constant time.
     [[nodiscard]] server_entry const* find_server(server_id id) const;
@@ -211,7 +212,7 @@
     unsigned token_hash_bits_;
     internal::token_index token_index_{};
     std::uint32_t last_server_id_ = 0; ///< Ids are never assigned again.
-    std::unordered_map<service_id, service> services_{};
+    string_map<service> services_{};
     std::optional<steady_time> next_timer_at_{};
 };
 
--- a/dotterelrouter/directory/directory_test.cpp
+++ b/dotterelrouter/directory/directory_test.cpp
@@ -105,7 +105,7 @@
 TEST(directory, draining_server_gets_no_new_flows_but_is_found)
 {
     merge(update(10, {make_server_record(1, 10, server_state::draining)}));
-    auto const* found = merged.find_service({id_from_name("catalogue")});
+    auto const* found = merged.find_service("catalogue");
     CHECK(found->all_servers().front().draining);
     CHECK(merged.find_server(token_of_server(1)) != nullptr);
 }
@@ -118,15 +118,12 @@
     removed.revision = {11};
     merge(update(11, {removed}));
     CHECK(state_of(1) == server_state::expired);
-    CHECK(!merged.find_service({id_from_name("catalogue")})
-               ->all_servers()
-               .front()
-               .draining);
+    CHECK(!merged.find_service("catalogue")->all_servers().front().draining);
     advance(2400ms);
     CHECK(state_of(1) == server_state::expired);
     advance(200ms);
     CHECK(state_of(1) == server_state::gone);
-    CHECK(merged.find_service({id_from_name("catalogue")}) == nullptr);
+    CHECK(merged.find_service("catalogue") == nullptr);
     // Packets of its open flows still find it.
     CHECK(merged.find_server(token_of_server(1)) != nullptr);
     advance(71s);
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -292,7 +292,7 @@
         load_shedder_.clear_urgencies();
         for (auto const& updated_route : directory_.routes())
         {
-            for (auto const target : updated_route.targets)
+            for (auto const& target : updated_route.targets)
             {
                 load_shedder_.register_urgency(target.service,
                                                updated_route.urgency);
--- a/dotterelrouter/forwarder/forwarder_test.cpp
+++ b/dotterelrouter/forwarder/forwarder_test.cpp
@@ -1,9 +1,12 @@
 #include "dotterelrouter/forwarder/forwarder.hpp"
 
+#include "testing/forwarding/name_pairs.hpp"
 #include "testing/forwarding/records.hpp"
 
 #include <algorithm>
 #include <set>
+#include <string_view>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -105,7 +108,7 @@
 TEST(forwarder, first_packet_goes_to_a_server_of_its_service)
 {
     auto other_service_server = make_server_record(9, 10);
-    other_service_server.service = {id_from_name("gallery")};
+    other_service_server.service = "gallery";
     start({make_server_record(1, 10), other_service_server});
     dispatch(make_packet_arrived(make_flow_key(1), packet_type::open));
     auto const forwarded = forwarded_packet();
@@ -114,6 +117,31 @@
     CHECK(forwarded.token == as_opening(token_of_server(1)));
 }
 
+/// Services are known by their names: with ids of 32 bits, flows to one service
+/// went to the servers of another one whose name has the same hash.
+TEST(forwarder, flows_go_to_no_service_whose_name_has_the_same_hash)
+{
+    auto const [routed, other] = testing::name_pair_search{20261205}.next(
+        [](std::string_view name)
+        {
+            return id_from_name(name);
+        });
+    std::vector<server_record> servers{make_server_record(1, 10),
+                                       make_server_record(2, 10)};
+    servers[0].service = routed;
+    servers[1].service = other;
+    start(servers);
+    changes_read changes;
+    changes.update.through = {11};
+    changes.update.routes = make_route_table(2, 11, routed);
+    dispatch(changes);
+    for (std::uint16_t port = 1; port <= 10; ++port)
+    {
+        dispatch(make_packet_arrived(make_flow_key(port), packet_type::open));
+        LONGS_EQUAL(1, forwarded_packet().server_number);
+    }
+}
+
 TEST(forwarder, packets_of_an_open_flow_are_forwarded_by_token)
 {
     start({make_server_record(1, 10),
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -73,14 +73,14 @@
     // new flow, which draws again.
     return target_service == nullptr ||
            load_shedder_.should_admit(
-               target_service->id, flow_route.urgency, mix(hash_of(flow)));
+               target_service->name, flow_route.urgency, mix(hash_of(flow)));
 }
 
 service const* forwarder::choose_service(route const& flow_route,
                                          flow_key flow) const
 {
     std::uint64_t total = 0;
-    for (auto const target : flow_route.targets)
+    for (auto const& target : flow_route.targets)
     {
         total += directory_.find_service(target.service) == nullptr
                      ? 0
@@ -91,7 +91,7 @@
         return nullptr;
     }
     auto remaining = hash_of(flow) % total;
-    for (auto const target : flow_route.targets)
+    for (auto const& target : flow_route.targets)
     {
         auto const* const found = directory_.find_service(target.service);
         if (found != nullptr && remaining < target.weight)
--- a/dotterelrouter/forwarding/internal/records.hpp
+++ b/dotterelrouter/forwarding/internal/records.hpp
@@ -17,10 +17,11 @@
 /// A service that receives a share of a route's flows.
 struct weighted_service
 {
-    service_id service{};
+    std::string service{};    ///< Name of the service.
     std::uint32_t weight = 1; ///< Relative to the route's other targets.
 
-    friend bool operator==(weighted_service, weighted_service) = default;
+    friend bool operator==(weighted_service const&,
+                           weighted_service const&) = default;
 };
 
 /// A service address that callers use, and the services that its flows go to.
@@ -63,7 +64,7 @@
 {
     std::string name{};       ///< Unique; identifies the entry.
     std::uint64_t number = 0; ///< Part of `name`; packets carry it.
-    service_id service{};
+    std::string service{};    ///< Name of its service.
     endpoint address{};
     data_centre_id data_centre{};
     std::uint16_t slots = 1; ///< Number of requests that run concurrently.
--- a/dotterelrouter/overload/overload.cpp
+++ b/dotterelrouter/overload/overload.cpp
@@ -28,7 +28,14 @@
 
 } // namespace
 
-void load_shedder::on_response(service_id service,
+load_shedder::service_state& load_shedder::state_of(std::string_view service)
+{
+    auto const found = services_.find(service);
+    return found == services_.end() ? services_[std::string{service}]
+                                    : found->second;
+}
+
+void load_shedder::on_response(std::string_view service,
                                duration latency,
                                duration target)
 {
@@ -39,13 +46,14 @@
     auto const ratio = std::min(max_latency_ratio,
                                 static_cast<double>(latency.count()) /
                                     static_cast<double>(target.count()));
-    auto& average = services_[service].latency_ratio;
+    auto& average = state_of(service).latency_ratio;
     average += response_weight * (ratio - average);
 }
 
-void load_shedder::register_urgency(service_id service, std::uint8_t urgency)
+void load_shedder::register_urgency(std::string_view service,
+                                    std::uint8_t urgency)
 {
-    auto& most_urgent = services_[service].most_urgent;
+    auto& most_urgent = state_of(service).most_urgent;
     most_urgent = std::min(most_urgent, urgency);
 }
 
@@ -57,7 +65,7 @@
     }
 }
 
-bool load_shedder::should_admit(service_id service,
+bool load_shedder::should_admit(std::string_view service,
                                 std::uint8_t urgency,
                                 std::uint64_t random_value) const
 {
@@ -80,7 +88,7 @@
            shed_share;
 }
 
-double load_shedder::latency_ratio(service_id service) const
+double load_shedder::latency_ratio(std::string_view service) const
 {
     auto const found = services_.find(service);
     return found == services_.end() ? 0 : found->second.latency_ratio;
--- a/dotterelrouter/overload/overload.hpp
+++ b/dotterelrouter/overload/overload.hpp
@@ -19,7 +19,7 @@
 #include "dotterelrouter/core/core.hpp"
 
 #include <cstdint>
-#include <unordered_map>
+#include <string_view>
 
 namespace dotterelrouter
 {
@@ -31,11 +31,12 @@
 public:
     /// Records a response that began `latency` after its request. Ignored if
     /// `target` is not positive: the route has no latency target.
-    void on_response(service_id service, duration latency, duration target);
+    void
+    on_response(std::string_view service, duration latency, duration target);
 
     /// Registers the urgency of a route to the service; 0 is the most urgent.
     /// The most urgent routes of each service are shed last.
-    void register_urgency(service_id service, std::uint8_t urgency);
+    void register_urgency(std::string_view service, std::uint8_t urgency);
 
     /// Clears the urgencies of all services, before the routes of a new table
     /// are registered.
@@ -43,13 +44,13 @@
 
     /// Returns false if a new flow is to be refused. `random_value` must be
     /// uniformly distributed over all values of its type.
-    [[nodiscard]] bool should_admit(service_id service,
+    [[nodiscard]] bool should_admit(std::string_view service,
                                     std::uint8_t urgency,
                                     std::uint64_t random_value) const;
 
     /// Returns the moving average of latency divided by target; 0 before the
     /// first response.
-    [[nodiscard]] double latency_ratio(service_id service) const;
+    [[nodiscard]] double latency_ratio(std::string_view service) const;
 
 private:
     struct service_state
@@ -58,7 +59,10 @@
         std::uint8_t most_urgent = UINT8_MAX; ///< Lowest registered value.
     };
 
-    std::unordered_map<service_id, service_state> services_;
+    /// Returns the state of a service, which is added if it is new.
+    service_state& state_of(std::string_view service);
+
+    string_map<service_state> services_;
 };
 
 } // namespace dotterelrouter
--- a/dotterelrouter/overload/overload_test.cpp
+++ b/dotterelrouter/overload/overload_test.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-service_id const catalogue{1};
+constexpr std::string_view catalogue = "catalogue";
 constexpr std::uint8_t most_urgent = 1;
 constexpr std::uint8_t less_urgent = 2;
 
@@ -57,7 +57,7 @@
 
 TEST(overload, unknown_service_sheds_nothing)
 {
-    CHECK(shedder.should_admit({9}, less_urgent, 0));
+    CHECK(shedder.should_admit("gallery", less_urgent, 0));
 }
 
 TEST(overload, less_urgent_flows_are_shed_first)
--- a/testing/forwarding/fleet.cpp
+++ b/testing/forwarding/fleet.cpp
@@ -28,8 +28,11 @@
 } // namespace
 
 forwarder_fleet_simulation::forwarder_fleet_simulation(
-    std::uint64_t seed, std::size_t size, fault_probabilities faults)
-    : random_(seed), faults_(faults)
+    std::uint64_t seed,
+    std::size_t size,
+    fault_probabilities faults,
+    unsigned token_hash_bits)
+    : random_(seed), faults_(faults), token_hash_bits_(token_hash_bits)
 {
     write_next_routes();
     for (std::uint32_t index = 0; index < initial_server_count; ++index)
@@ -75,7 +78,9 @@
         .heartbeat_endpoint = restarted.address,
         .data_centre = "a",
         .incarnation = random_(),
-        .seeds = {forwarders_[0].address, forwarders_[1].address}});
+        .seeds = {forwarders_[0].address, forwarders_[1].address},
+        .is_first_start = restarted.generation == 1,
+        .token_hash_bits = token_hash_bits_});
     restarted.started_at = now_.steady;
     restarted.undisturbed_since = now_.steady;
     restarted.timer_deadline = now_.steady;
--- a/testing/forwarding/fleet.hpp
+++ b/testing/forwarding/fleet.hpp
@@ -56,9 +56,11 @@
 class forwarder_fleet_simulation
 {
 public:
+    /// With few `token_hash_bits`, many servers share their tokens.
     forwarder_fleet_simulation(std::uint64_t seed,
                                std::size_t size,
-                               fault_probabilities faults);
+                               fault_probabilities faults,
+                               unsigned token_hash_bits = max_token_hash_bits);
 
     /// Runs for `run_length` or until the first violation.
     run_result run(duration run_length);
@@ -237,6 +239,7 @@
 
     std::mt19937_64 random_;
     fault_probabilities faults_;
+    unsigned token_hash_bits_;
     instant now_{steady_time{std::chrono::hours{1}},
                  wall_time{std::chrono::hours{1}}};
     std::vector<simulated_forwarder> forwarders_;
--- a/testing/forwarding/fleet_runs.cpp
+++ b/testing/forwarding/fleet_runs.cpp
@@ -25,7 +25,8 @@
 void expect_no_violations(char const* profile_name,
                           fault_probabilities const& faults,
                           double min_opened_share,
-                          bool rewrite_routes)
+                          bool rewrite_routes,
+                          unsigned token_hash_bits)
 {
     auto const first_seed = number_from_environment("FORWARDING_FROM", 1);
     auto const last_seed = number_from_environment("FORWARDING_TO", 40);
@@ -34,7 +35,7 @@
     for (auto seed = first_seed; seed <= last_seed; ++seed)
     {
         forwarder_fleet_simulation simulation{
-            seed, fleet_size_for(seed), faults};
+            seed, fleet_size_for(seed), faults, token_hash_bits};
         simulation.rewrite_routes = rewrite_routes;
         auto const result = simulation.run(run_length);
         if (!result.violation.empty())
--- a/testing/forwarding/fleet_runs.hpp
+++ b/testing/forwarding/fleet_runs.hpp
@@ -19,6 +19,7 @@
 void expect_no_violations(char const* profile_name,
                           fault_probabilities const& faults,
                           double min_opened_share,
-                          bool rewrite_routes = true);
+                          bool rewrite_routes = true,
+                          unsigned token_hash_bits = max_token_hash_bits);
 
 } // namespace dotterelrouter::testing
--- a/testing/forwarding/fleet_test.cpp
+++ b/testing/forwarding/fleet_test.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// Some 30 servers are known at a time.
+constexpr unsigned short_token_bits = 6;
+
 /// Returns how many of 20 runs with the defect that `inject_defect` switches on
 /// violate a rule.
 template <class InjectDefect>
@@ -60,6 +63,14 @@
                          0.8);
 }
 
+/// Tokens are so short that every run is full of servers that share theirs
+/// (review/4).
+TEST(forwarder_fleet, shared_tokens_violate_no_rule)
+{
+    expect_no_violations(
+        "shared tokens", {.restart_one = 0.02}, 0.8, true, short_token_bits);
+}
+
 TEST(forwarder_fleet, packets_to_a_wrong_server_are_detected)
 {
     CHECK(count_runs_with_violations(
--- a/testing/forwarding/token_pairs.hpp
+++ b/testing/forwarding/name_pairs.hpp
@@ -1,35 +1,37 @@
-// Names of servers that have the same token, found by a search, so that they
-// fit whatever hash is in use.
+// Pairs of names with the same hash, found by a search, so that they fit
+// whatever hash is in use.
 #pragma once
 
-#include "dotterelrouter/directory/directory.hpp"
+#include "dotterelrouter/core/core.hpp"
 
 #include <cstdint>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 
 namespace dotterelrouter::testing
 {
 
-/// Finds pairs of names with the same first token, each time others.
-class token_pair_search
+/// Finds pairs of names, each time others.
+class name_pair_search
 {
 public:
-    explicit token_pair_search(std::uint64_t seed) : random_(seed)
+    explicit name_pair_search(std::uint64_t seed) : random_(seed)
     {
     }
 
-    /// Returns the next pair. Tries some 40,000 names.
-    std::pair<std::string, std::string> next()
+    /// Returns the next two names for which `hash_of` returns the same. With
+    /// hashes of 32 bits it tries some 80,000 names.
+    template <class Hash>
+    std::pair<std::string, std::string> next(Hash hash_of)
     {
-        std::unordered_map<route_token, std::string> names;
+        std::unordered_map<std::uint64_t, std::string> names;
         while (true)
         {
             auto name = random_name();
-            auto const [other, is_new] =
-                names.emplace(tokens_of_name(name).front(), name);
+            auto const [other, is_new] = names.emplace(hash_of(name), name);
             if (!is_new && other->second != name)
             {
                 return {other->second, std::move(name)};
@@ -38,7 +40,7 @@
     }
 
 private:
-    /// Returns a name like those of the platform, of 40 random bits.
+    /// Returns a name like those of the platform's servers, of 40 random bits.
     std::string random_name()
     {
         constexpr std::string_view digits = "0123456789abcdef";
--- a/testing/forwarding/records.hpp
+++ b/testing/forwarding/records.hpp
@@ -28,7 +28,7 @@
     server_record record;
     record.name = "s" + std::to_string(number);
     record.number = number;
-    record.service = {id_from_name("catalogue")};
+    record.service = "catalogue";
     record.address = {0x0a800000 + number, 8080};
     record.data_centre = {id_from_name(data_centre)};
     record.slots = 3;
@@ -64,7 +64,7 @@
     table->revision = {revision};
     route single_route;
     single_route.address = service_address;
-    single_route.targets = {{{id_from_name(service)}, 1}};
+    single_route.targets = {{std::string{service}, 1}};
     single_route.timeout = std::chrono::milliseconds{1500};
     single_route.target_latency = std::chrono::milliseconds{250};
     table->routes.push_back(single_route);
--- a/testing/forwarding/shared_tokens_test.cpp
+++ b/testing/forwarding/shared_tokens_test.cpp
@@ -1,7 +1,7 @@
 // Two servers whose names have the same token: no forwarder takes one for the
 // other, whichever of them it knows, and in whatever order it learned of them.
 #include "testing/forwarding/forwarder_group.hpp"
-#include "testing/forwarding/token_pairs.hpp"
+#include "testing/forwarding/name_pairs.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -54,12 +54,13 @@
 // clang-format off
 TEST_GROUP(shared_tokens)
 {
-    token_pair_search search{search_seed};
+    name_pair_search search{search_seed};
 
     /// Returns the next pair, whose names are in either order by turns.
     server_pair next_pair()
     {
-        auto [first, second] = search.next();
+        auto [first, second] = search.next([](std::string_view name)
+                                           { return tokens_of_name(name).front().value; });
         if (first > second)
         {
             std::swap(first, second);
