Send the first binding to a keeper that took a later one

A forwarder without knowledge proposes the server in a packet's token to all keepers of the flow. One of them did not know the flow and took the proposal; another one responded that the flow was bound before, to another server. If the response of the first came after, it counted as confirmation of the earlier binding: that keeper was never told, and sent the flow's packets to the wrong server from then on.

Evidence: messages of the test in virtual time. At 39544.0 ms forwarder 6 proposes s6 to forwarders 2 and 7; at 39544.5 ms 2 responds s5, bound 37.5 s ago, and 7 responds s6; 6 sends nothing more to 7, which sends the next packet to s6.

Change: a response that names another server leaves the keeper among those that are sent the binding.

Tests: keeper_that_took_a_later_binding_is_sent_the_earlier_one and open_flow_keeps_its_server_if_three_forwarders_stop_at_a_time; both failed without the change.

--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -415,8 +415,13 @@
         return;
     }
     auto& bound = found->second;
-    mark_informed(bound, from);
     bound.is_settled = true;
+    if (is_same_flow(bound.binding, held) &&
+        bound.binding.server != held.server)
+    {
+        return; // The keeper holds a later binding, and is sent this one.
+    }
+    mark_informed(bound, from);
     std::erase_if(bound.unconfirmed,
                   [&](peer_run const& keeper)
                   {
--- a/dotterelrouter/bindings/binding_table_test.cpp
+++ b/dotterelrouter/bindings/binding_table_test.cpp
@@ -158,6 +158,23 @@
               .server == second_server);
 }
 
+/// Of two keepers, the second one took a later binding and responded before the
+/// response of the first one replaced it. It was taken to hold the earlier one,
+/// and sent packets of the flow to the wrong server.
+TEST(binding_table, keeper_that_took_a_later_binding_is_sent_the_earlier_one)
+{
+    bindings.set_forwarders({make_forwarder(1), make_forwarder(2)}, now);
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    respond(make_forwarder(1), make_binding(1, second_server, 3s));
+    respond(make_forwarder(2), make_binding(1, first_server, 0ms));
+    advance(1ms);
+    CHECK_EQUAL(1U, sent_counts().count(make_forwarder(2).heartbeat_endpoint));
+    respond(make_forwarder(2), make_binding(1, second_server, 3s));
+    CHECK(!bindings.is_awaiting_keepers(make_flow_key(1)));
+    advance(10s);
+    CHECK(effects_of_type<send_bindings>(out).empty());
+}
+
 TEST(binding_table, later_flow_of_the_same_port_is_not_bound)
 {
     constexpr std::uint32_t distance = 1U << 30U;
--- a/testing/forwarding/forwarder_group.cpp
+++ b/testing/forwarding/forwarder_group.cpp
@@ -71,6 +71,11 @@
     start(index);
 }
 
+void forwarder_group::stop(std::size_t index)
+{
+    deliver(index, shutdown_requested{});
+}
+
 void forwarder_group::kill(std::size_t index)
 {
     std::erase_if(messages_,
@@ -79,6 +84,7 @@
                       return sent.receiver == index;
                   });
     members_[index].reducer.reset();
+    members_[index].has_exited = false;
     members_[index].timer_at = steady_time::max();
 }
 
@@ -256,6 +262,10 @@
             },
             requested_effect);
     }
+    if (receiver.has_exited)
+    {
+        kill(index);
+    }
 }
 
 void forwarder_group::post(std::size_t from,
@@ -344,6 +354,12 @@
     ++refused_flows_;
 }
 
+void forwarder_group::execute(std::size_t index,
+                              exit_process const& /*requested_effect*/)
+{
+    members_[index].has_exited = true;
+}
+
 void forwarder_group::execute(std::size_t /*index*/,
                               log_decision const& requested_effect)
 {
--- a/testing/forwarding/forwarder_group.hpp
+++ b/testing/forwarding/forwarder_group.hpp
@@ -61,6 +61,16 @@
 
     /// Replaces a process by a new one that knows nothing.
     void restart(std::size_t index);
+    /// Asks a process to stop. It ends by itself, and then is not running.
+    void stop(std::size_t index);
+    /// Starts a process that is not running.
+    void start(std::size_t index);
+
+    [[nodiscard]] bool is_running(std::size_t index) const
+    {
+        return members_[index].reducer != nullptr;
+    }
+
     /// Ends a process. Messages to it are lost.
     void kill(std::size_t index);
     /// Stops a process, so that events for it wait until it is woken.
@@ -123,6 +133,7 @@
         std::unique_ptr<forwarder> reducer{};
         steady_time timer_at = steady_time::max();
         bool is_frozen = false;
+        bool has_exited = false; ///< It requested to exit.
         std::vector<forwarder_event> waiting{};
     };
 
@@ -133,7 +144,6 @@
         forwarder_event next_event;
     };
 
-    void start(std::size_t index);
     void deliver(std::size_t index, forwarder_event const& next_event);
     void execute(std::size_t index, forward_packet const& requested_effect);
     void execute(std::size_t index, send_heartbeat const& requested_effect);
@@ -144,6 +154,7 @@
     void execute(std::size_t index, set_timer const& requested_effect);
     void execute(std::size_t index, log_decision const& requested_effect);
     void execute(std::size_t index, refuse_flow const& requested_effect);
+    void execute(std::size_t index, exit_process const& requested_effect);
 
     /// Other effects have no consequences here.
     template <class Other>
--- a/testing/forwarding/openings_test.cpp
+++ b/testing/forwarding/openings_test.cpp
@@ -2,6 +2,8 @@
 // open, across restarts of forwarders.
 #include "testing/forwarding/forwarder_group.hpp"
 
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 namespace dotterelrouter::testing
@@ -246,6 +248,51 @@
         server_reached(2, forwarder_group::acknowledgement(1, second.token)));
 }
 
+/// The platform may stop several forwarders at a time: here three of eight, so
+/// that all that hold a binding may stop together.
+TEST(openings, open_flow_keeps_its_server_if_three_forwarders_stop_at_a_time)
+{
+    constexpr std::size_t size = 8;
+    constexpr std::size_t stopped_at_a_time = 3;
+    forwarder_group fleet{{"a", "a", "b", "b", "c", "c", "d", "d"}, 6};
+    std::vector<std::pair<forward_packet, forward_packet>> flows;
+    for (std::uint16_t port = 1; port <= 40; ++port)
+    {
+        auto const index = std::size_t{port} % size;
+        auto const first =
+            *fleet.send(index, forwarder_group::first_packet(port));
+        fleet.advance(30ms);
+        auto const second = fleet.forwarded().back();
+        fleet.send(index, forwarder_group::acknowledgement(port, second.token));
+        flows.emplace_back(first, second);
+    }
+    for (std::size_t begin = 0; begin < 2 * size; begin += stopped_at_a_time)
+    {
+        for (std::size_t i = begin; i < begin + stopped_at_a_time; ++i)
+        {
+            fleet.stop(i % size);
+        }
+        fleet.advance(5s);
+        for (std::size_t i = begin; i < begin + stopped_at_a_time; ++i)
+        {
+            CHECK(!fleet.is_running(i % size));
+            fleet.start(i % size);
+        }
+        fleet.advance(1s);
+    }
+    for (std::uint16_t port = 1; port <= 40; ++port)
+    {
+        auto const& [first, second] = flows[port - 1U];
+        for (std::size_t index = 0; index < size; ++index)
+        {
+            auto const forwarded =
+                fleet.send(index, forwarder_group::request(port, first.token));
+            CHECK(forwarded.has_value());
+            CHECK_EQUAL(second.server_number, forwarded->server_number);
+        }
+    }
+}
+
 /// A flow that opens at the first attempt costs the other forwarders nothing.
 TEST(openings, flow_opened_at_the_first_attempt_is_not_shared)
 {
