Wait for a keeper that stands still if the others may not know the flow

Cause: any response confirmed a proposal, also that of a keeper which can't have known, and a proposal once taken was passed on as a binding.

Change: responses say whether their sender knows all bindings that it was to keep (it has run for the lifetime of flows, or since the first start of the fleet), and bindings whether they are proposals. A proposal is confirmed by a sender that knows all, by a confirmed binding, or by all keepers together; until then packets of the flow are dropped, for a second at most, and callers send them again. Keepers are told of the confirmation by one more message; one that was not told asks before it follows a proposal itself.

Tests: packets_wait_for_the_only_keeper_that_knows_their_flow failed before the change (server 3 instead of 1); three tests in binding_table_test.

--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -60,29 +60,23 @@
     return count;
 }
 
-/// Sends bindings, in as many messages as it takes.
+/// Sends the bindings of a message, in as many messages as it takes.
 void send_all(endpoint destination,
-              std::span<flow_binding const> bindings,
-              bool is_response,
+              binding_message const& message,
               forwarder_effects& out)
 {
+    std::span<flow_binding const> bindings{message.bindings};
     while (!bindings.empty())
     {
         auto const part = bindings.first(count_that_fit(bindings));
         out.push_back(send_bindings{destination,
                                     {.bindings = {part.begin(), part.end()},
-                                     .is_response = is_response}});
+                                     .is_response = message.is_response,
+                                     .knows_all = message.knows_all}});
         bindings = bindings.subspan(part.size());
     }
 }
 
-/// Returns a binding with its age at this time.
-flow_binding with_age(flow_binding binding, steady_time bound_at, instant now)
-{
-    binding.age = std::max(duration::zero(), duration{now.steady - bound_at});
-    return binding;
-}
-
 } // namespace
 
 bool is_same_stream(std::uint32_t first, std::uint32_t second)
@@ -118,6 +112,15 @@
     checks_.push({at, bound.binding.flow});
 }
 
+flow_binding binding_table::to_message(entry const& bound, instant now)
+{
+    auto binding = bound.binding;
+    binding.age =
+        std::max(duration::zero(), duration{now.steady - bound.bound_at});
+    binding.is_proposal = !bound.is_settled;
+    return binding;
+}
+
 std::optional<std::string_view>
 binding_table::find(caller_packet const& packet) const
 {
@@ -147,7 +150,7 @@
                          now,
                          out);
     bound.is_settled = basis == binding_basis::seen_open;
-    send_new(bound, now, out);
+    send_now(bound, now, out);
 }
 
 void binding_table::bind(flow_binding const& binding,
@@ -161,16 +164,31 @@
     }
     auto& bound = insert(binding, now.steady - binding.age, now, out);
     bound.is_settled = true;
-    send_new(bound, now, out);
+    send_now(bound, now, out);
 }
 
-void binding_table::send_new(entry& bound, instant now, forwarder_effects& out)
+void binding_table::confirm(caller_packet const& packet,
+                            instant now,
+                            forwarder_effects& out)
+{
+    auto const found = entries_.find(packet.flow);
+    if (found == entries_.end() || !found->second.is_foreign_proposal)
+    {
+        return;
+    }
+    auto& bound = found->second;
+    bound.is_foreign_proposal = false;
+    bound.informed.clear();
+    send_now(bound, now, out);
+}
+
+void binding_table::send_now(entry& bound, instant now, forwarder_effects& out)
 {
     outgoing messages;
     send_to_keepers(bound, now, messages);
     for (auto const& [destination, bindings] : messages)
     {
-        send_all(destination, bindings, false, out);
+        send_all(destination, {.bindings = bindings}, out);
     }
 }
 
@@ -262,7 +280,8 @@
                                                 forwarder_effects& out)
 {
     std::vector<flow_key> replaced;
-    std::vector<flow_binding> responses;
+    binding_message response{.is_response = true,
+                             .knows_all = now.steady >= knows_all_from_};
     for (auto const& received : message.bindings)
     {
         auto const found = entries_.find(received.flow);
@@ -282,14 +301,17 @@
         }
         if (message.is_response)
         {
-            on_response(received, from);
+            if (on_response(received, from, message.knows_all))
+            {
+                announce_confirmed(received.flow, now, out);
+            }
             continue;
         }
-        responses.push_back(received.server.empty()
-                                ? answer_to(received, now)
-                                : merge(received, from, now, out));
+        response.bindings.push_back(received.server.empty()
+                                        ? answer_to(received, now)
+                                        : merge(received, from, now, out));
     }
-    send_all(from, responses, true, out);
+    send_all(from, response, out);
     return replaced;
 }
 
@@ -311,7 +333,7 @@
     }
     for (auto const& [destination, bindings] : messages)
     {
-        send_all(destination, bindings, false, out);
+        send_all(destination, {.bindings = bindings}, out);
     }
 }
 
@@ -355,7 +377,7 @@
 {
     auto const found = entries_.find(asked.flow);
     return found != entries_.end() && is_same_flow(found->second.binding, asked)
-               ? with_age(found->second.binding, found->second.bound_at, now)
+               ? to_message(found->second, now)
                : asked;
 }
 
@@ -373,13 +395,16 @@
     {
         auto& bound = found->second;
         mark_informed(bound, from);
-        return with_age(bound.binding, bound.bound_at, now);
+        bound.is_settled |=
+            !received.is_proposal && bound.binding.server == received.server;
+        return to_message(bound, now);
     }
     auto& bound = insert(received, bound_at, now, out);
     // The sender informs the other keepers. This forwarder does so only once
     // there are others than now.
     bound.informed = keeper_runs(received.flow);
-    bound.is_settled = true;
+    bound.is_settled = !received.is_proposal;
+    bound.is_foreign_proposal = received.is_proposal;
     mark_informed(bound, from);
     return received;
 }
@@ -394,7 +419,7 @@
     {
         return false;
     }
-    if (answer.server.empty())
+    if (answer.server.empty() || answer.is_proposal)
     {
         std::erase(found->second.unanswered, from);
         std::erase(found->second.unanswered_keepers, from);
@@ -407,19 +432,23 @@
     return true;
 }
 
-void binding_table::on_response(flow_binding const& held, endpoint from)
+bool binding_table::on_response(flow_binding const& held,
+                                endpoint from,
+                                bool knows_all)
 {
     auto const found = entries_.find(held.flow);
     if (found == entries_.end() || held.server.empty())
     {
-        return;
+        return false;
     }
     auto& bound = found->second;
-    bound.is_settled = true;
+    auto const was_settled = bound.is_settled;
+    bound.is_settled |= knows_all || !held.is_proposal;
     if (is_same_flow(bound.binding, held) &&
         bound.binding.server != held.server)
     {
-        return; // The keeper holds a later binding, and is sent this one.
+        // The keeper holds a later binding, and is sent this one.
+        return bound.is_settled && !was_settled;
     }
     mark_informed(bound, from);
     std::erase_if(bound.unconfirmed,
@@ -427,6 +456,23 @@
                   {
                       return keeper.address == from;
                   });
+    bound.is_settled |= bound.unconfirmed.empty();
+    auto const is_own_proposal = !bound.is_foreign_proposal;
+    bound.is_foreign_proposal &= !bound.is_settled;
+    return bound.is_settled && !was_settled && is_own_proposal;
+}
+
+void binding_table::announce_confirmed(flow_key flow,
+                                       instant now,
+                                       forwarder_effects& out)
+{
+    auto const& bound = entries_.at(flow);
+    for (auto const& keeper : keeper_runs(flow))
+    {
+        send_all(keeper.address,
+                 {.bindings = {to_message(bound, now)}, .is_response = true},
+                 out);
+    }
 }
 
 bool binding_table::replace_if_later(entry& bound,
@@ -443,7 +489,8 @@
     bound.bound_at = bound_at;
     // Keepers may hold the later binding.
     bound.informed.clear();
-    bound.is_settled = true;
+    bound.is_settled = !other.is_proposal;
+    bound.is_foreign_proposal = false;
     schedule_check(bound, now.steady);
     return true;
 }
@@ -473,8 +520,7 @@
         if (std::ranges::count(bound.informed, keeper) == 0)
         {
             bound.unconfirmed.push_back(keeper);
-            messages[keeper.address].push_back(
-                with_age(bound.binding, bound.bound_at, now));
+            messages[keeper.address].push_back(to_message(bound, now));
         }
     }
     if (bound.unconfirmed.empty())
--- a/dotterelrouter/bindings/binding_table_test.cpp
+++ b/dotterelrouter/bindings/binding_table_test.cpp
@@ -82,10 +82,11 @@
     }
 
     /// Delivers the response of a forwarder that holds this binding.
-    void respond(live_forwarder const& from, flow_binding const& held)
+    void respond(live_forwarder const& from, flow_binding const& held, bool knows_all = true)
     {
         bindings.on_message(
-            from.heartbeat_endpoint, {.bindings = {held}, .is_response = true}, now, out);
+            from.heartbeat_endpoint,
+            {.bindings = {held}, .is_response = true, .knows_all = knows_all}, now, out);
     }
 };
 
@@ -119,6 +120,70 @@
     CHECK(bindings.is_awaiting_keepers(make_flow_key(1)));
 }
 
+/// Of two keepers, the one that responds has started after the flow may have
+/// been bound. The other one may know that it was.
+TEST(binding_table, response_of_a_keeper_that_started_later_settles_nothing)
+{
+    bindings.set_forwarders({make_forwarder(1), make_forwarder(2)}, now);
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    auto proposed = make_binding(1, first_server, 0ms);
+    proposed.is_proposal = true;
+    respond(make_forwarder(1), proposed, false);
+    CHECK(!bindings.is_settled(make_packet(1)));
+    advance(500ms);
+    CHECK(bindings.is_unconfirmed(make_flow_key(1), now));
+    // Nor does the proposal of another forwarder that it took before.
+    proposed.age = 3s;
+    respond(make_forwarder(1), proposed, false);
+    CHECK(!bindings.is_settled(make_packet(1)));
+    respond(make_forwarder(2), proposed, false);
+    CHECK(bindings.is_settled(make_packet(1)));
+}
+
+/// A keeper that took a proposal is told when it is confirmed, and then needs
+/// to ask nobody.
+TEST(binding_table, keepers_are_told_that_a_proposal_is_confirmed)
+{
+    bindings.set_forwarders({make_forwarder(1), make_forwarder(2)}, now);
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    for (auto const& sent : effects_of_type<send_bindings>(out))
+    {
+        CHECK(sent.message.bindings.front().is_proposal);
+    }
+    out.clear();
+    respond(make_forwarder(1), make_binding(1, first_server, 0ms));
+    auto const confirmations = effects_of_type<send_bindings>(out);
+    CHECK_EQUAL(2U, confirmations.size());
+    binding_table keeper{{.data_centre = data_centre}};
+    auto proposed = make_binding(1, first_server, 0ms);
+    proposed.is_proposal = true;
+    keeper.on_message({1, 1}, {{proposed}}, now, out);
+    CHECK(!keeper.is_settled(make_packet(1)));
+    out.clear();
+    keeper.on_message({1, 1}, confirmations.front().message, now, out);
+    CHECK(keeper.is_settled(make_packet(1)));
+    keeper.confirm(make_packet(1), now, out);
+    CHECK(effects_of_type<send_bindings>(out).empty());
+}
+
+/// A keeper that took another forwarder's proposal asks the other keepers
+/// before it sends packets of the flow there itself.
+TEST(binding_table, keeper_confirms_a_proposal_before_it_uses_it)
+{
+    bindings.set_forwarders({make_forwarder(1), make_forwarder(2)}, now);
+    auto proposed = make_binding(1, first_server, 0ms);
+    proposed.is_proposal = true;
+    bindings.on_message(
+        make_forwarder(1).heartbeat_endpoint, {{proposed}}, now, out);
+    CHECK(!bindings.is_settled(make_packet(1)));
+    bindings.confirm(make_packet(1), now, out);
+    CHECK(bindings.is_unconfirmed(make_flow_key(1), now));
+    CHECK_EQUAL(1U, sent_counts().count(make_forwarder(2).heartbeat_endpoint));
+    respond(make_forwarder(2), make_binding(1, second_server, 3s));
+    CHECK(bindings.find(make_packet(1)) == second_server);
+    CHECK(bindings.is_settled(make_packet(1)));
+}
+
 TEST(binding_table, first_binding_wins_at_the_forwarder_that_holds_it)
 {
     bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -58,6 +58,13 @@
     {
     }
 
+    /// Sets the time from which this forwarder knows every binding of which it
+    /// was a keeper: flows that began before it started are over then.
+    void set_knows_all_from(steady_time time)
+    {
+        knows_all_from_ = time;
+    }
+
     /// Sets the other forwarders that are live. Bindings are sent to those that
     /// are keepers now and were not before, when on_timer is due next.
     void set_forwarders(std::vector<live_forwarder> forwarders, instant now);
@@ -80,6 +87,11 @@
     /// already, and sends the binding to the keepers.
     void bind(flow_binding const& binding, instant now, forwarder_effects& out);
 
+    /// Asks the keepers to confirm the binding of a packet's flow, if another
+    /// forwarder proposed it and has not told whether it was confirmed.
+    void
+    confirm(caller_packet const& packet, instant now, forwarder_effects& out);
+
     /// Asks the keepers and all forwarders of this data centre where the flow
     /// of a packet is open, without binding it. Replaces an earlier question
     /// about a flow of the same key.
@@ -95,12 +107,14 @@
     /// True while a keeper has not responded to the binding of this flow, or a
     /// forwarder to the question about it.
     [[nodiscard]] bool is_awaiting_keepers(flow_key flow) const;
-    /// False if the flow of a packet is bound by a token only, and no other
-    /// forwarder has confirmed that. True if the flow is not bound.
+    /// False if the flow of a packet is bound by a token only, and it is not
+    /// confirmed: neither have all keepers responded, nor one that knows all
+    /// bindings or a confirmed one of the flow. True if the flow is not bound.
     [[nodiscard]] bool is_settled(caller_packet const& packet) const;
 
-    /// True while keepers that should have responded leave open whether the
-    /// flow was bound before; false from `max_lookup_time` after it was bound.
+    /// True while keepers leave open whether the flow was bound before: one has
+    /// not responded, and the others that did may have started after that.
+    /// False from `max_lookup_time` after the flow was bound.
     [[nodiscard]] bool is_unconfirmed(flow_key flow, instant now) const;
 
     /// Merges the bindings of a message, and responds to it unless it is a
@@ -154,6 +168,8 @@
         /// Keepers that were sent the binding and have not responded.
         std::vector<peer_run> unconfirmed;
         bool is_settled = false; ///< See is_settled().
+        /// Proposed by another forwarder, and not confirmed to this one.
+        bool is_foreign_proposal = false;
         /// When its keepers are checked next; empty if they all responded.
         std::optional<steady_time> check_at;
         duration resend_delay{};
@@ -183,7 +199,9 @@
         std::uint64_t insertion = 0; ///< Tells a later flow of the key apart.
     };
 
-    void send_new(entry& bound, instant now, forwarder_effects& out);
+    /// Returns a binding as it is sent.
+    static flow_binding to_message(entry const& bound, instant now);
+    void send_now(entry& bound, instant now, forwarder_effects& out);
     entry& insert(flow_binding const& binding,
                   steady_time bound_at,
                   instant now,
@@ -197,7 +215,11 @@
                        endpoint from,
                        instant now,
                        forwarder_effects& out);
-    void on_response(flow_binding const& held, endpoint from);
+    /// Returns whether the response confirms a binding that this forwarder
+    /// proposed.
+    bool on_response(flow_binding const& held, endpoint from, bool knows_all);
+    /// Tells the keepers that the binding of a flow is confirmed.
+    void announce_confirmed(flow_key flow, instant now, forwarder_effects& out);
     /// Handles the response to a question, if it is one. Returns whether the
     /// flow is bound by it.
     bool on_answer(flow_binding const& answer,
@@ -230,6 +252,7 @@
         checks_{};
     std::deque<lifetime_end> lifetime_ends_{}; ///< In the order of insertion.
     std::uint64_t insertions_ = 0;
+    steady_time knows_all_from_ = steady_time::max();
 };
 
 } // namespace dotterelrouter
--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -257,6 +257,7 @@
     out.set_sequence(value.sequence);
     out.set_acknowledgement(value.acknowledgement);
     out.set_server(value.server);
+    out.set_proposal(value.is_proposal);
     out.set_age_us(age_to_wire(value.age) - 1);
 }
 
@@ -267,6 +268,7 @@
     out.sequence = in.sequence();
     out.acknowledgement = in.acknowledgement();
     out.server = in.server();
+    out.is_proposal = in.proposal();
     out.age = microseconds{std::min(in.age_us(), max_duration_us)};
     return narrow(in.caller_port(), out.flow.caller.port) &&
            narrow(in.address_port(), out.flow.service_address.port);
@@ -316,6 +318,7 @@
 {
     wire::FlowBindings out;
     out.set_response(message.is_response);
+    out.set_knows_all(message.knows_all);
     for (auto const& binding : message.bindings)
     {
         to_wire(binding, *out.add_bindings());
@@ -331,7 +334,8 @@
     {
         return std::nullopt;
     }
-    binding_message message{.is_response = in.response()};
+    binding_message message{.is_response = in.response(),
+                            .knows_all = in.knows_all()};
     for (auto const& binding : in.bindings())
     {
         if (!from_wire(binding, message.bindings.emplace_back()))
--- a/dotterelrouter/codec/replication_codec_test.cpp
+++ b/dotterelrouter/codec/replication_codec_test.cpp
@@ -60,9 +60,11 @@
                          .sequence = UINT32_MAX,
                          .acknowledgement = 5,
                          .server = "i-3d0f4bf384",
-                         .age = 1500us},
+                         .age = 1500us,
+                         .is_proposal = true},
                         {.flow = testing::make_flow_key(7)}};
     message.is_response = true;
+    message.knows_all = true;
     auto const decoded =
         decode_bindings(as_byte_view(encode_bindings(message)));
     CHECK(decoded == message);
@@ -97,7 +99,8 @@
          .sequence = UINT32_MAX,
          .acknowledgement = UINT32_MAX,
          .server = "i-0123456789abcd",
-         .age = 24h});
+         .age = 24h,
+         .is_proposal = true});
     CHECK(encode_bindings(message).size() <= 1400);
 }
 
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -58,7 +58,8 @@
       reader_(settings.incarnation), reachability_(data_centre_),
       bindings_({.data_centre = data_centre_,
                  .flow_lifetime = settings.flow_lifetime}),
-      has_removed_servers_(settings.is_first_start)
+      flow_lifetime_(settings.flow_lifetime),
+      is_first_start_(settings.is_first_start)
 {
 }
 
@@ -73,10 +74,12 @@
         last_event_at_ = now.steady;
         // The socket is older than the first event by an unknown time.
         queue_ends_at_ = now.steady + internal::resume_grace_period;
+        bindings_.set_knows_all_from(
+            is_first_start_ ? now.steady : now.steady + flow_lifetime_);
         out.push_back(log_decision{
             .type = decision::started,
-            .reason = has_removed_servers_ ? "first start of the whole fleet"
-                                           : "start among others"});
+            .reason = is_first_start_ ? "first start of the whole fleet"
+                                      : "start among others"});
     }
     detect_pause(now, out);
     std::visit(
@@ -362,7 +365,7 @@
 
 bool forwarder::needs_removed_servers(instant now) const
 {
-    return !has_removed_servers_ &&
+    return !is_first_start_ && !has_removed_servers_ &&
            now.steady - *started_at_ < removed_servers_request_period;
 }
 
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -350,7 +350,9 @@
     bool was_reader_ = false;
     bool reported_directory_lost_ = false;
     bool exit_requested_ = false;
-    bool has_removed_servers_; ///< See needs_removed_servers().
+    duration flow_lifetime_;
+    bool is_first_start_;              ///< See forwarder_settings.
+    bool has_removed_servers_ = false; ///< See needs_removed_servers().
     /// Number of unreadable entries of the last read.
     std::uint32_t reported_unreadable_entries_ = 0;
 };
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -26,6 +26,7 @@
                               !bindings_.is_settled(packet);
     if (!is_overruled && bindings_.find(packet))
     {
+        bindings_.confirm(packet, now, out);
         if (!hold_if_unconfirmed(packet, now, out))
         {
             forward_to_bound_server(packet, now, out);
@@ -213,6 +214,7 @@
                           instant now,
                           forwarder_effects& out)
 {
+    bindings_.confirm(packet, now, out);
     auto const bound_server = bindings_.find(packet);
     if (bound_server && hold_if_unconfirmed(packet, now, out))
     {
--- a/dotterelrouter/forwarding/internal/messages.hpp
+++ b/dotterelrouter/forwarding/internal/messages.hpp
@@ -53,6 +53,9 @@
     /// in the response that it is not.
     std::string server{};
     duration age{}; ///< Time since the flow was bound.
+    /// The sender knows it from a token only, and no other forwarder has
+    /// confirmed it to the sender yet.
+    bool is_proposal = false;
 
     friend bool operator==(flow_binding const&, flow_binding const&) = default;
 };
@@ -63,6 +66,9 @@
 {
     std::vector<flow_binding> bindings{};
     bool is_response = false;
+    /// Whether the sender has run for so long that it knows every binding of
+    /// which it was a keeper.
+    bool knows_all = false;
 
     friend bool operator==(binding_message const&,
                            binding_message const&) = default;
--- a/testing/forwarding/forwarder_group.cpp
+++ b/testing/forwarding/forwarder_group.cpp
@@ -59,6 +59,7 @@
         .data_centre = started.data_centre,
         .incarnation = ++starts_,
         .seeds = {members_.front().address, members_.back().address},
+        .is_first_start = starts_ <= members_.size(),
         .token_hash_bits = token_hash_bits_});
     started.waiting.clear();
     started.is_frozen = false;
--- a/testing/forwarding/openings_test.cpp
+++ b/testing/forwarding/openings_test.cpp
@@ -293,6 +293,42 @@
     }
 }
 
+/// The only forwarder left that holds a flow's binding stands still, as all
+/// other holders were killed at one moment and have started again. Those
+/// respond that they don't know the flow.
+TEST(openings, packets_wait_for_the_only_keeper_that_knows_their_flow)
+{
+    constexpr std::size_t size = 5;
+    for (std::size_t frozen = 1; frozen < size; ++frozen)
+    {
+        for (std::size_t asking = 1; asking < size; ++asking)
+        {
+            forwarder_group fleet{{"a", "a", "a", "a", "a"}, 4};
+            auto const first = *fleet.send(0, forwarder_group::first_packet(1));
+            fleet.advance(30ms);
+            auto const second = fleet.forwarded().back();
+            fleet.send(0, forwarder_group::acknowledgement(1, second.token));
+            fleet.advance(1s);
+            fleet.freeze(frozen);
+            for (std::size_t index = 0; index < size; ++index)
+            {
+                if (index != frozen && index != asking)
+                {
+                    fleet.restart(index);
+                }
+            }
+            fleet.advance(100ms);
+            auto const sent_before = fleet.forwarded().size();
+            fleet.send(asking, forwarder_group::request(1, first.token));
+            fleet.advance(100ms);
+            for (auto const& sent : fleet.forwarded().subspan(sent_before))
+            {
+                CHECK_EQUAL(second.server_number, sent.server_number);
+            }
+        }
+    }
+}
+
 /// A flow that opens at the first attempt costs the other forwarders nothing.
 TEST(openings, flow_opened_at_the_first_attempt_is_not_shared)
 {
