End each cut link of the virtual fleet by itself

The fleet kept all cut links until the end of the last cut, and a restart made a forwarder count as undisturbed from then on, also while one of its links was cut. So the check of open flows judged forwarders that had been cut off until a moment ago.

The link of f0 and f1 was cut at 7.0 s for 3 s and lasted until 12.0 s, as another cut began at 9.0 s; f1 restarted at 7.4 s, and counted as undisturbed since. f0, which held a binding, did not know f1 and stood still; at 13.2 s f1 took the flow to the wrong server, 1.2 s after its link was back. The rule asks for a path and calm links for the whole stability window (4 s here).

The check and its bound stay as they are: a cut lasts 3 s, and what disturbs a forwarder is never forgotten before its end.

--- a/testing/forwarding/fleet.cpp
+++ b/testing/forwarding/fleet.cpp
@@ -18,6 +18,7 @@
 constexpr duration min_pause = 200ms;
 constexpr duration pause_step = 100ms;
 constexpr std::uint64_t pause_steps = 19;
+constexpr duration link_cut_duration = 3s;
 // Time after which routers notice that a forwarder does not respond.
 constexpr duration rotation_delay = 600ms;
 // One flow in this many is kept open for seconds between its packets.
@@ -82,7 +83,7 @@
         .is_first_start = restarted.generation == 1,
         .token_hash_bits = token_hash_bits_});
     restarted.started_at = now_.steady;
-    restarted.undisturbed_since = now_.steady;
+    disturb(index, now_.steady);
     restarted.timer_deadline = now_.steady;
     restarted.routes_version = 0;
     restarted.watching_since.reset();
@@ -141,19 +142,11 @@
     {
         pause_forwarder(random_forwarder());
     }
-    if (now_.steady >= link_cuts_until_)
-    {
-        link_cuts_.clear();
-    }
     if (occurs_with(faults_.link_cut))
     {
         auto const first = random_forwarder();
         auto const second = random_forwarder();
-        link_cuts_.insert({first, second});
-        link_cuts_.insert({second, first});
-        link_cuts_until_ = now_.steady + 3s;
-        forwarders_[first].undisturbed_since = link_cuts_until_;
-        forwarders_[second].undisturbed_since = link_cuts_until_;
+        cut_link(first, second);
     }
     if (occurs_with(faults_.history_loss))
     {
@@ -178,7 +171,22 @@
     paused.paused_until =
         now_.steady + min_pause + (random_() % pause_steps) * pause_step;
     paused.in_rotation_until = now_.steady + rotation_delay;
-    paused.undisturbed_since = paused.paused_until;
+    disturb(index, paused.paused_until);
+}
+
+void forwarder_fleet_simulation::cut_link(std::size_t first, std::size_t second)
+{
+    auto const until = now_.steady + link_cut_duration;
+    link_cuts_[{first, second}] = until;
+    link_cuts_[{second, first}] = until;
+    disturb(first, until);
+    disturb(second, until);
+}
+
+void forwarder_fleet_simulation::disturb(std::size_t index, steady_time until)
+{
+    auto& undisturbed_since = forwarders_[index].undisturbed_since;
+    undisturbed_since = std::max(undisturbed_since, until);
 }
 
 void forwarder_fleet_simulation::begin_flows()
--- a/testing/forwarding/fleet.hpp
+++ b/testing/forwarding/fleet.hpp
@@ -15,7 +15,6 @@
 #include <optional>
 #include <queue>
 #include <random>
-#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -178,6 +177,9 @@
     void run_step();
     void inject_faults();
     void pause_forwarder(std::size_t index);
+    void cut_link(std::size_t first, std::size_t second);
+    /// Records that a disturbance of a forwarder lasts until then.
+    void disturb(std::size_t index, steady_time until);
     void change_store();
     void
     write_server(std::uint32_t number, server_state state, bool is_deleted);
@@ -266,8 +268,8 @@
     /// removes the entry of one that is gone.
     std::map<std::string, steady_time> entries_due_{};
     std::optional<steady_time> routes_due_at_{};
-    std::set<std::pair<std::size_t, std::size_t>> link_cuts_;
-    steady_time link_cuts_until_{};
+    /// Pairs of forwarders that are disconnected, and until when.
+    std::map<std::pair<std::size_t, std::size_t>, steady_time> link_cuts_;
     std::uint16_t next_port_ = 1;
     std::uint32_t next_server_number_ = 1;
     run_result result_;
--- a/testing/forwarding/fleet_nodes.cpp
+++ b/testing/forwarding/fleet_nodes.cpp
@@ -63,7 +63,8 @@
 bool forwarder_fleet_simulation::is_link_cut(std::size_t first,
                                              std::size_t second) const
 {
-    return link_cuts_.contains({first, second});
+    auto const found = link_cuts_.find({first, second});
+    return found != link_cuts_.end() && now_.steady < found->second;
 }
 
 void forwarder_fleet_simulation::execute(std::size_t index,
