Keep the settled token of an open flow

A forwarder that had just restarted, and had not heard of the other, gone server yet, put the first token into a flow's packet. The next forwarder knew both, asked, and as nobody knew the flow took it to the server whose entry was there first.

Change: a settled token that names the server by itself goes on unchanged. It is right wherever it is, and replacing it helped nobody.

--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -327,7 +327,11 @@
         out.push_back(
             increment_forwarder_counter{forwarder_counter::packets_retargeted});
     }
-    auto const token = later_token_of(server);
+    // A settled token stays: this forwarder may not know a server yet with
+    // which the first token of this one is shared.
+    auto const is_kept = is_settled(packet.token) &&
+                         directory_.find_server(packet.token) == &server;
+    auto const token = is_kept ? packet.token : later_token_of(server);
     forward_to(server,
                packet.bytes,
                bindings_.is_settled(packet) ? token : as_opening(token),
--- a/testing/forwarding/shared_tokens_test.cpp
+++ b/testing/forwarding/shared_tokens_test.cpp
@@ -380,6 +380,33 @@
     }
 }
 
+/// A forwarder that does not know the other server of a pair (yet) replaced the
+/// second token of open flows by the first one, which the others took for that
+/// of the other server (virtual fleet with tokens of 6 bits, seed 193).
+TEST(shared_tokens, second_token_of_an_open_flow_stays)
+{
+    auto const servers = next_pair();
+    forwarder_group group{{"a", "a", "a"}, {servers.older, servers.newer}};
+    auto flows = open_flows(group, 0);
+    group.set_servers({servers.newer});
+    group.advance(1s);
+    group.restart(1);
+    group.advance(1s);
+    int kept_tokens = 0;
+    for (auto& flow : flows)
+    {
+        auto const token = flow.token;
+        if (flow.server_number == newer_number && is_settled(token))
+        {
+            CHECK_EQUAL(newer_number, server_reached(group, 1, flow));
+            CHECK(flow.token == token);
+            CHECK_EQUAL(newer_number, server_reached(group, 2, flow));
+            ++kept_tokens;
+        }
+    }
+    CHECK(kept_tokens > 0);
+}
+
 /// Data centres have keepers of their own.
 TEST(shared_tokens, open_flows_keep_their_servers_across_data_centres)
 {
