Split flows with shared tokens from openings.cpp

What a forwarder does when a token names several servers is a file of its own. A flow that is bound already is no longer logged and counted as bound again when another forwarder asks for it. Nothing else changes.

--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -153,18 +153,19 @@
     send_now(bound, now, out);
 }
 
-void binding_table::bind(flow_binding const& binding,
+bool binding_table::bind(flow_binding const& binding,
                          instant now,
                          forwarder_effects& out)
 {
     auto const found = entries_.find(binding.flow);
     if (found != entries_.end() && is_same_flow(found->second.binding, binding))
     {
-        return;
+        return false;
     }
     auto& bound = insert(binding, now.steady - binding.age, now, out);
     bound.is_settled = true;
     send_now(bound, now, out);
+    return true;
 }
 
 void binding_table::confirm(caller_packet const& packet,
--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -84,8 +84,9 @@
               forwarder_effects& out);
 
     /// Binds a flow that was seen open `binding.age` ago, unless it is bound
-    /// already, and sends the binding to the keepers.
-    void bind(flow_binding const& binding, instant now, forwarder_effects& out);
+    /// already, and sends the binding to the keepers. Returns whether it was
+    /// not bound.
+    bool bind(flow_binding const& binding, instant now, forwarder_effects& out);
 
     /// Asks the keepers to confirm the binding of a packet's flow, if another
     /// forwarder proposed it and has not told whether it was confirmed.
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -191,6 +191,13 @@
                           std::string_view reason,
                           instant now,
                           forwarder_effects& out);
+    /// Binds a flow that opens here at a server, as far as the evidence asks
+    /// for it. Returns whether the packet was held.
+    bool hold_or_bind(internal::placed_flow& flow,
+                      caller_packet const& packet,
+                      server_entry const& server,
+                      instant now,
+                      forwarder_effects& out);
     void bind_flow(caller_packet const& packet,
                    server_entry const& server,
                    binding_basis basis,
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -4,10 +4,8 @@
 #include "dotterelrouter/forwarder/internal/opening.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <optional>
 #include <utility>
-#include <vector>
 
 namespace dotterelrouter
 {
@@ -60,47 +58,6 @@
     forward_later_packet(*server, packet, out);
 }
 
-void forwarder::on_ambiguous_packet(caller_packet const& packet,
-                                    instant now,
-                                    forwarder_effects& out)
-{
-    auto is_unbound = bindings_.end_question(packet.flow);
-    if (!is_unbound)
-    {
-        bindings_.ask(packet, now, out);
-        if (hold_until_confirmed(packet, now, out))
-        {
-            return;
-        }
-        is_unbound = bindings_.end_question(packet.flow);
-    }
-    auto const* const server =
-        is_unbound == true && is_settled(packet.token)
-            ? directory_.first_server_of(packet.token, now)
-            : nullptr;
-    if (server != nullptr)
-    {
-        forward_later_packet(*server, packet, out);
-        return;
-    }
-    out.push_back(
-        increment_forwarder_counter{forwarder_counter::packets_ambiguous});
-    out.push_back(log_decision{
-        .type = decision::flow_ambiguous,
-        .flow = packet.flow,
-        .request_id = std::string{packet.request_id},
-        .reason = "its token names several servers, and no forwarder knows it",
-        .revision = directory_.revision(),
-        .age = freshness_.age(now),
-        .count = static_cast<std::uint32_t>(
-            directory_.servers_of(packet.token).size())});
-}
-
-bool forwarder::is_ambiguous(route_token token) const
-{
-    return directory_.servers_of(token).size() > 1;
-}
-
 server_entry const* forwarder::find_server_of(placed_flow& flow,
                                               caller_packet const& packet)
 {
@@ -114,81 +71,6 @@
     return directory_.find_server(flow.server);
 }
 
-server_entry const* forwarder::find_named_server(placed_flow const& flow,
-                                                 route_token token) const
-{
-    if (is_settled(token) || !is_ambiguous(token))
-    {
-        return directory_.find_server(token);
-    }
-    std::vector<server_id> attempted;
-    std::ranges::copy_if(directory_.servers_of(token),
-                         std::back_inserter(attempted),
-                         [&](server_id server)
-                         {
-                             return flow.has_attempted(server);
-                         });
-    return attempted.size() == 1 ? directory_.find_server(attempted.front())
-                                 : nullptr;
-}
-
-void forwarder::bind_flows_at(std::span<server_id const> servers,
-                              instant now,
-                              forwarder_effects& out)
-{
-    if (servers.empty())
-    {
-        return;
-    }
-    flows_.for_each(
-        [&](placed_flow const& flow)
-        {
-            if (!flow.opened || std::ranges::count(servers, flow.server) == 0)
-            {
-                return;
-            }
-            bind_placed_flow(
-                flow, "its token names another server as well", now, out);
-        });
-}
-
-void forwarder::bind_flows_asked_about(binding_message const& message,
-                                       instant now,
-                                       forwarder_effects& out)
-{
-    for (auto const& asked : message.bindings)
-    {
-        auto const* const flow =
-            asked.server.empty() ? flows_.find(asked.flow) : nullptr;
-        if (flow != nullptr && flow->opened &&
-            is_same_stream(asked.sequence, flow->last_sequence) &&
-            is_same_stream(asked.acknowledgement, flow->last_acknowledgement))
-        {
-            bind_placed_flow(*flow, "another forwarder asked", now, out);
-        }
-    }
-}
-
-void forwarder::bind_placed_flow(placed_flow const& flow,
-                                 std::string_view reason,
-                                 instant now,
-                                 forwarder_effects& out)
-{
-    auto const* const server = directory_.find_server(flow.server);
-    if (server == nullptr)
-    {
-        return;
-    }
-    bindings_.bind({.flow = flow.key,
-                    .sequence = flow.last_sequence,
-                    .acknowledgement = flow.last_acknowledgement,
-                    .server = server->record.name,
-                    .age = duration{now.steady - flow.first_seen}},
-                   now,
-                   out);
-    log_bound_flow(flow.key, {}, *server, reason, now, out);
-}
-
 bool forwarder::forward_to_bound_server(caller_packet const& packet,
                                         instant now,
                                         forwarder_effects& out)
@@ -234,46 +116,53 @@
         drop_unrouted_packet(packet, now, out);
         return false;
     }
-    if (!bound_server && !is_settled(packet.token))
+    if (!bound_server && !is_settled(packet.token) &&
+        hold_or_bind(flow, packet, *entry, now, out))
     {
-        switch (evidence_of(flow, packet, entry->id, now))
+        return false;
+    }
+    mark_opened(flow, entry->id, now, out);
+    return true;
+}
+
+bool forwarder::hold_or_bind(placed_flow& flow,
+                             caller_packet const& packet,
+                             server_entry const& server,
+                             instant now,
+                             forwarder_effects& out)
+{
+    switch (evidence_of(flow, packet, server.id, now))
+    {
+    case opening_evidence::sole_server:
+        if (is_ambiguous(packet.token))
         {
-        case opening_evidence::sole_server:
-            if (is_ambiguous(packet.token))
-            {
-                bind_flow(packet,
-                          *entry,
-                          binding_basis::seen_open,
-                          "its token names another server as well",
-                          now,
-                          out);
-            }
-            break;
-        case opening_evidence::one_of_several:
             bind_flow(packet,
-                      *entry,
+                      server,
                       binding_basis::seen_open,
-                      "several servers have its first packet",
-                      now,
-                      out);
-            break;
-        case opening_evidence::contested:
-            bind_flow(packet,
-                      *entry,
-                      binding_basis::token,
-                      "first packet or acknowledgement late",
+                      "its token names another server as well",
                       now,
                       out);
-            flow.awaits_binding = hold_until_confirmed(packet, now, out);
-            if (flow.awaits_binding)
-            {
-                return false;
-            }
-            break;
         }
+        return false;
+    case opening_evidence::one_of_several:
+        bind_flow(packet,
+                  server,
+                  binding_basis::seen_open,
+                  "several servers have its first packet",
+                  now,
+                  out);
+        return false;
+    case opening_evidence::contested:
+        break;
     }
-    mark_opened(flow, entry->id, now, out);
-    return true;
+    bind_flow(packet,
+              server,
+              binding_basis::token,
+              "first packet or acknowledgement late",
+              now,
+              out);
+    flow.awaits_binding = hold_until_confirmed(packet, now, out);
+    return flow.awaits_binding;
 }
 
 void forwarder::bind_flow(caller_packet const& packet,
