Confirm a proposal only for a packet of its flow

A caller's port may be in use again: a packet of the later flow made a keeper ask the others about the earlier one. Found by reading; it cost messages and moved no flow. Two loops of the directory update read without a default value besides.

--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -173,7 +173,8 @@
                             forwarder_effects& out)
 {
     auto const found = entries_.find(packet.flow);
-    if (found == entries_.end() || !found->second.is_foreign_proposal)
+    if (found == entries_.end() || !found->second.is_foreign_proposal ||
+        !belongs_to(packet, found->second.binding))
     {
         return;
     }
--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -397,11 +397,13 @@
     {
         to_wire(server, services, *out.add_servers());
     }
-    out.set_lists_removed_servers(update.removed_servers.has_value());
-    for (auto const& removed :
-         update.removed_servers.value_or(std::vector<removed_server>{}))
+    if (update.removed_servers)
     {
-        to_wire(removed, services, *out.add_removed_servers());
+        out.set_lists_removed_servers(true);
+        for (auto const& removed : *update.removed_servers)
+        {
+            to_wire(removed, services, *out.add_removed_servers());
+        }
     }
     for (auto const& name : services.names())
     {
--- a/dotterelrouter/directory/directory.cpp
+++ b/dotterelrouter/directory/directory.cpp
@@ -111,10 +111,12 @@
     directory_changes changes;
     log_rollback(update.through, out);
     changes.routes_changed = merge_routes(update.routes, out);
-    for (auto const& removed :
-         update.removed_servers.value_or(std::vector<removed_server>{}))
+    if (update.removed_servers)
     {
-        add_removed_server(removed, now, changes, out);
+        for (auto const& removed : *update.removed_servers)
+        {
+            add_removed_server(removed, now, changes, out);
+        }
     }
     for (auto const& record : update.servers)
     {
@@ -220,24 +222,25 @@
                                     forwarder_effects& out)
 {
     auto const id = server_id{++last_server_id_};
+    auto const tokens = tokens_of_name(record.name, token_hash_bits_);
     auto& added = servers_[id];
     added = {.id = id,
              .record = record,
-             .tokens = tokens_of_name(record.name, token_hash_bits_),
-             .token = tokens_of_name(record.name, token_hash_bits_)[0],
+             .tokens = tokens,
+             .token = tokens.front(),
              .changed_at = now.steady,
              .cold_until = now.steady + record.cold_remaining,
              .has_drained = record.state == server_state::draining};
     log_server(added, out);
-    for (auto const token : added.tokens)
+    for (auto const token : tokens)
     {
         auto const others = servers_of(token);
         changes.ambiguous_servers.insert(
             changes.ambiguous_servers.end(), others.begin(), others.end());
     }
     ids_by_name_[record.name] = id;
-    token_index_.add(id, added.tokens);
-    assign_tokens(added.tokens, out);
+    token_index_.add(id, tokens);
+    assign_tokens(tokens, out);
     return added;
 }
 
