Hold packets for late keepers until their caller sends them again

Since packets wait for keepers that may know more than those that respond, more of them were dropped after 50 ms, and came again only 200 ms after they were sent.

Change: a packet that can't go on without a response waits for up to 200 ms, when its caller sends it again, and goes on as soon as a response tells where.

Test: packet_goes_on_when_a_late_keeper_responds failed before.

--- a/dotterelrouter/forwarder/internal/held_flows.hpp
+++ b/dotterelrouter/forwarder/internal/held_flows.hpp
@@ -19,8 +19,12 @@
 inline constexpr duration buffered_packet_ttl = std::chrono::milliseconds{250};
 
 /// Time for which packets wait for other forwarders. Those respond within a
-/// network round trip, and the caller retransmits after several times as long.
+/// network round trip.
 inline constexpr duration max_hold_time = std::chrono::milliseconds{50};
+/// Time for which packets wait if they can't go on without a response, before
+/// they are dropped. The caller retransmits them after that time.
+inline constexpr duration max_unconfirmed_hold_time =
+    std::chrono::milliseconds{200};
 
 /// Maximum number of flows whose packets wait, and of packets of one flow.
 /// Packets beyond them are dropped, and the callers retransmit them.
@@ -59,6 +63,7 @@
         if (flows_.size() < max_held_flows)
         {
             flows_.push_back({packet.flow,
+                              now.steady,
                               now.steady + max_hold_time,
                               {copy_of(packet, now)}});
         }
@@ -80,31 +85,41 @@
         return true;
     }
 
-    /// Takes the packets of all flows that are due, or for which
-    /// `can_release(flow_key)` is true, in order of arrival for each flow.
-    template <class Predicate>
-    std::vector<buffered_packet> release(instant now, Predicate can_release)
+    /// Takes the packets of all flows for which `can_release(flow_key)` is
+    /// true, or that have waited for max_hold_time, in order of arrival for
+    /// each flow. A flow for which `must_wait(flow_key)` is true then waits on,
+    /// up to max_unconfirmed_hold_time.
+    template <class CanRelease, class MustWait>
+    std::vector<buffered_packet>
+    release(instant now, CanRelease can_release, MustWait must_wait)
     {
         std::vector<buffered_packet> released;
-        std::erase_if(flows_,
-                      [&](flow& held)
-                      {
-                          if (now.steady < held.due && !can_release(held.key))
-                          {
-                              return false;
-                          }
-                          std::ranges::move(held.packets,
-                                            std::back_inserter(released));
-                          return true;
-                      });
+        std::erase_if(
+            flows_,
+            [&](flow& held)
+            {
+                auto const waited = now.steady - held.since;
+                if (!can_release(held.key) &&
+                    (waited < max_hold_time ||
+                     (waited < max_unconfirmed_hold_time &&
+                      must_wait(held.key))))
+                {
+                    held.due = held.since + (waited < max_hold_time
+                                                 ? max_hold_time
+                                                 : max_unconfirmed_hold_time);
+                    return false;
+                }
+                std::ranges::move(held.packets, std::back_inserter(released));
+                return true;
+            });
         return released;
     }
 
     /// Time at which the next flow is due; empty if none is held.
     [[nodiscard]] std::optional<steady_time> next_timer_at() const
     {
-        return flows_.empty() ? std::nullopt
-                              : std::optional{flows_.front().due};
+        auto const next = std::ranges::min_element(flows_, {}, &flow::due);
+        return next == flows_.end() ? std::nullopt : std::optional{next->due};
     }
 
     [[nodiscard]] bool empty() const
@@ -116,6 +131,7 @@
     struct flow
     {
         flow_key key;
+        steady_time since; ///< When it began to wait.
         steady_time due;
         std::vector<buffered_packet> packets;
     };
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -222,13 +222,17 @@
     {
         return;
     }
-    auto released =
-        held_flows_.release(now,
-                            [&](flow_key flow)
-                            {
-                                return !bindings_.is_awaiting_keepers(flow) ||
-                                       std::ranges::count(rebound, flow) != 0;
-                            });
+    auto released = held_flows_.release(
+        now,
+        [&](flow_key flow)
+        {
+            return !bindings_.is_awaiting_keepers(flow) ||
+                   std::ranges::count(rebound, flow) != 0;
+        },
+        [&](flow_key flow)
+        {
+            return bindings_.is_unconfirmed(flow, now);
+        });
     log_unconfirmed_flows(released, rebound, now, out);
     // Without any response another server may have the flow. The caller sends
     // the packet again, and it is looked up again.
--- a/testing/forwarding/openings_neighbours_test.cpp
+++ b/testing/forwarding/openings_neighbours_test.cpp
@@ -182,6 +182,24 @@
     CHECK(!is_settled(forwarded->token));
 }
 
+/// All keepers respond late. The packet was dropped after 50 ms, and its
+/// request came 200 ms later.
+TEST(opening_neighbours, packet_goes_on_when_a_late_keeper_responds)
+{
+    forwarder_group group{{"a", "a", "a"}, 4};
+    auto const first = *group.send(0, forwarder_group::first_packet(1));
+    group.freeze(0);
+    group.freeze(2);
+    auto const sent_before = group.forwarded().size();
+    group.send(1, forwarder_group::acknowledgement(1, first.token));
+    group.advance(100ms);
+    CHECK_EQUAL(sent_before, group.forwarded().size());
+    group.wake(2);
+    group.advance(5ms);
+    CHECK_EQUAL(sent_before + 1, group.forwarded().size());
+    CHECK_EQUAL(first.server_number, group.forwarded().back().server_number);
+}
+
 /// One of several keepers stands still. The packet waits for it only briefly.
 TEST(opening_neighbours, packet_is_held_only_briefly_for_one_silent_keeper)
 {
