Wait only for keepers that started before those that respond

A keeper that has run for less than the lifetime of flows could confirm nothing while another one was silent. When a whole fleet has restarted, none has run for so long, and whoever was slow to respond held up packets that no one knew anything of.

Change: heartbeats tell how long their sender has run, in one byte and a tag, in place of a flag in each response. A silent keeper matters only if it started more than a second before the one that responds.

Tests: response_of_a_keeper_that_started_later_settles_nothing, response_of_a_keeper_that_knows_all_settles; packets_wait_for_the_only_keeper_that_knows_their_flow holds as before.

--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -23,6 +23,9 @@
 /// so that it fits into a datagram.
 constexpr std::size_t max_bindings_per_message = 24;
 constexpr std::size_t max_name_bytes_per_message = 384;
+/// Forwarders whose starts lie less than this apart count as started together:
+/// hardly a flow is bound in between.
+constexpr duration max_start_difference = std::chrono::seconds{1};
 /// Number of questions from which old ones are removed.
 constexpr std::size_t max_questions = 1024;
 /// Bytes that a flow transfers at most in its lifetime, in either direction.
@@ -71,8 +74,7 @@
         auto const part = bindings.first(count_that_fit(bindings));
         out.push_back(send_bindings{destination,
                                     {.bindings = {part.begin(), part.end()},
-                                     .is_response = message.is_response,
-                                     .knows_all = message.knows_all}});
+                                     .is_response = message.is_response}});
         bindings = bindings.subspan(part.size());
     }
 }
@@ -282,8 +284,7 @@
                                                 forwarder_effects& out)
 {
     std::vector<flow_key> replaced;
-    binding_message response{.is_response = true,
-                             .knows_all = now.steady >= knows_all_from_};
+    binding_message response{.is_response = true};
     for (auto const& received : message.bindings)
     {
         auto const found = entries_.find(received.flow);
@@ -303,7 +304,7 @@
         }
         if (message.is_response)
         {
-            if (on_response(received, from, message.knows_all))
+            if (on_response(received, from, now))
             {
                 announce_confirmed(received.flow, now, out);
             }
@@ -436,7 +437,7 @@
 
 bool binding_table::on_response(flow_binding const& held,
                                 endpoint from,
-                                bool knows_all)
+                                instant now)
 {
     auto const found = entries_.find(held.flow);
     if (found == entries_.end() || held.server.empty())
@@ -445,7 +446,8 @@
     }
     auto& bound = found->second;
     auto const was_settled = bound.is_settled;
-    bound.is_settled |= knows_all || !held.is_proposal;
+    bound.is_settled |=
+        !held.is_proposal || !may_know_more(bound.unconfirmed, from, now);
     if (is_same_flow(bound.binding, held) &&
         bound.binding.server != held.server)
     {
@@ -464,6 +466,27 @@
     return bound.is_settled && !was_settled && is_own_proposal;
 }
 
+bool binding_table::may_know_more(std::span<peer_run const> silent_keepers,
+                                  endpoint responder,
+                                  instant now) const
+{
+    auto const* const responding = find_forwarder(responder);
+    if (responding == nullptr ||
+        now.steady - responding->started_at >= settings_.flow_lifetime)
+    {
+        return responding == nullptr;
+    }
+    return std::ranges::any_of(
+        silent_keepers,
+        [&](peer_run const& keeper)
+        {
+            auto const* const silent = find_forwarder(keeper.address);
+            return silent != nullptr &&
+                   silent->started_at + max_start_difference <
+                       responding->started_at;
+        });
+}
+
 void binding_table::announce_confirmed(flow_key flow,
                                        instant now,
                                        forwarder_effects& out)
@@ -499,12 +522,12 @@
 
 void binding_table::mark_informed(entry& bound, endpoint address)
 {
-    auto const incarnation = incarnation_of(address);
-    if (!incarnation)
+    auto const* const forwarder = find_forwarder(address);
+    if (forwarder == nullptr)
     {
         return;
     }
-    peer_run const run{address, *incarnation};
+    peer_run const run{address, forwarder->incarnation};
     if (std::ranges::count(bound.informed, run) == 0)
     {
         bound.informed.push_back(run);
@@ -547,13 +570,11 @@
     return runs;
 }
 
-std::optional<std::uint64_t>
-binding_table::incarnation_of(endpoint address) const
+live_forwarder const* binding_table::find_forwarder(endpoint address) const
 {
     auto const found = std::ranges::find(
         forwarders_, address, &live_forwarder::heartbeat_endpoint);
-    return found == forwarders_.end() ? std::nullopt
-                                      : std::optional{found->incarnation};
+    return found == forwarders_.end() ? nullptr : &*found;
 }
 
 bool binding_table::remove_oldest(steady_time due)
--- a/dotterelrouter/bindings/binding_table_test.cpp
+++ b/dotterelrouter/bindings/binding_table_test.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -82,11 +83,10 @@
     }
 
     /// Delivers the response of a forwarder that holds this binding.
-    void respond(live_forwarder const& from, flow_binding const& held, bool knows_all = true)
+    void respond(live_forwarder const& from, flow_binding const& held)
     {
         bindings.on_message(
-            from.heartbeat_endpoint,
-            {.bindings = {held}, .is_response = true, .knows_all = knows_all}, now, out);
+            from.heartbeat_endpoint, {.bindings = {held}, .is_response = true}, now, out);
     }
 };
 
@@ -124,22 +124,51 @@
 /// been bound. The other one may know that it was.
 TEST(binding_table, response_of_a_keeper_that_started_later_settles_nothing)
 {
-    bindings.set_forwarders({make_forwarder(1), make_forwarder(2)}, now);
+    auto later = make_forwarder(1);
+    auto earlier = make_forwarder(2);
+    later.started_at = now.steady - 3s;
+    earlier.started_at = now.steady - 5s;
+    bindings.set_forwarders({later, earlier}, now);
     bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
     auto proposed = make_binding(1, first_server, 0ms);
     proposed.is_proposal = true;
-    respond(make_forwarder(1), proposed, false);
+    respond(later, proposed);
     CHECK(!bindings.is_settled(make_packet(1)));
     advance(500ms);
     CHECK(bindings.is_unconfirmed(make_flow_key(1), now));
     // Nor does the proposal of another forwarder that it took before.
     proposed.age = 3s;
-    respond(make_forwarder(1), proposed, false);
+    respond(later, proposed);
     CHECK(!bindings.is_settled(make_packet(1)));
-    respond(make_forwarder(2), proposed, false);
+    respond(earlier, proposed);
     CHECK(bindings.is_settled(make_packet(1)));
 }
 
+/// The keeper that does not respond started later, or the one that does has run
+/// for the lifetime of flows.
+TEST(binding_table, response_of_a_keeper_that_knows_all_settles)
+{
+    for (auto const& [uptime, uptime_of_silent] :
+         {std::pair{5s, 3s}, std::pair{60s, 90s}})
+    {
+        auto responding = make_forwarder(1);
+        auto silent = make_forwarder(2);
+        responding.started_at = now.steady - uptime;
+        silent.started_at = now.steady - uptime_of_silent;
+        binding_table table{{.data_centre = data_centre}};
+        table.set_forwarders({responding, silent}, now);
+        table.bind(
+            make_packet(1), first_server, binding_basis::token, now, out);
+        auto taken = make_binding(1, first_server, 0ms);
+        taken.is_proposal = true;
+        table.on_message(responding.heartbeat_endpoint,
+                         {.bindings = {taken}, .is_response = true},
+                         now,
+                         out);
+        CHECK(table.is_settled(make_packet(1)));
+    }
+}
+
 /// A keeper that took a proposal is told when it is confirmed, and then needs
 /// to ask nobody.
 TEST(binding_table, keepers_are_told_that_a_proposal_is_confirmed)
--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -58,13 +58,6 @@
     {
     }
 
-    /// Sets the time from which this forwarder knows every binding of which it
-    /// was a keeper: flows that began before it started are over then.
-    void set_knows_all_from(steady_time time)
-    {
-        knows_all_from_ = time;
-    }
-
     /// Sets the other forwarders that are live. Bindings are sent to those that
     /// are keepers now and were not before, when on_timer is due next.
     void set_forwarders(std::vector<live_forwarder> forwarders, instant now);
@@ -110,11 +103,12 @@
     [[nodiscard]] bool is_awaiting_keepers(flow_key flow) const;
     /// False if the flow of a packet is bound by a token only, and it is not
     /// confirmed: neither have all keepers responded, nor one that knows all
-    /// bindings or a confirmed one of the flow. True if the flow is not bound.
+    /// that the others do, or a confirmed binding of the flow. True if the flow
+    /// is not bound.
     [[nodiscard]] bool is_settled(caller_packet const& packet) const;
 
     /// True while keepers leave open whether the flow was bound before: one has
-    /// not responded, and the others that did may have started after that.
+    /// not responded, and those that did have started after it.
     /// False from `max_lookup_time` after the flow was bound.
     [[nodiscard]] bool is_unconfirmed(flow_key flow, instant now) const;
 
@@ -218,7 +212,13 @@
                        forwarder_effects& out);
     /// Returns whether the response confirms a binding that this forwarder
     /// proposed.
-    bool on_response(flow_binding const& held, endpoint from, bool knows_all);
+    bool on_response(flow_binding const& held, endpoint from, instant now);
+    /// Whether a keeper that has not responded may know of a binding that a
+    /// forwarder does not know of.
+    [[nodiscard]] bool may_know_more(std::span<peer_run const> silent_keepers,
+                                     endpoint responder,
+                                     instant now) const;
+    [[nodiscard]] live_forwarder const* find_forwarder(endpoint address) const;
     /// Tells the keepers that the binding of a flow is confirmed.
     void announce_confirmed(flow_key flow, instant now, forwarder_effects& out);
     /// Handles the response to a question, if it is one. Returns whether the
@@ -239,8 +239,6 @@
     /// Schedules a check, unless an earlier one is scheduled.
     void schedule_check(entry& bound, steady_time at);
     [[nodiscard]] std::vector<peer_run> keeper_runs(flow_key flow) const;
-    [[nodiscard]] std::optional<std::uint64_t>
-    incarnation_of(endpoint address) const;
     /// Removes the entry that was inserted first. Returns false if there is
     /// none before `due`.
     bool remove_oldest(steady_time due);
@@ -253,7 +251,6 @@
         checks_{};
     std::deque<lifetime_end> lifetime_ends_{}; ///< In the order of insertion.
     std::uint64_t insertions_ = 0;
-    steady_time knows_all_from_ = steady_time::max();
 };
 
 } // namespace dotterelrouter
--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -26,6 +26,8 @@
 /// reduced to it; larger durations of other kinds are rejected.
 constexpr std::uint64_t max_duration_ms = 24ULL * 3600 * 1000;
 constexpr std::uint64_t max_duration_us = 1000 * max_duration_ms;
+/// Maximum uptime in a heartbeat, which takes one byte.
+constexpr std::uint32_t max_uptime_s = 127;
 
 constexpr std::string_view after_parameter = "after=";
 constexpr std::string_view era_parameter = "era=";
@@ -70,6 +72,15 @@
     return microseconds{std::min(age_us_and_one - 1, max_duration_us)};
 }
 
+/// Returns the value of a field uptime_s. A negative uptime counts as 0.
+std::uint32_t uptime_to_wire(duration uptime)
+{
+    auto const seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(uptime).count();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(seconds, 0, max_uptime_s));
+}
+
 /// Returns a duration in milliseconds, rounded down; 0 if it is negative.
 std::uint64_t to_milliseconds(duration value)
 {
@@ -288,6 +299,7 @@
     out.set_store_reachable(message.store_reachable);
     out.set_leaving(message.draining);
     out.set_answer_wanted(message.reply_requested);
+    out.set_uptime_s(uptime_to_wire(message.uptime));
     for (auto const ip : message.known_forwarder_ips)
     {
         out.add_ips(ip);
@@ -310,6 +322,8 @@
     message.store_reachable = in.store_reachable();
     message.draining = in.leaving();
     message.reply_requested = in.answer_wanted();
+    message.uptime =
+        std::chrono::seconds{std::min(in.uptime_s(), max_uptime_s)};
     message.known_forwarder_ips.assign(in.ips().begin(), in.ips().end());
     return message;
 }
@@ -318,7 +332,6 @@
 {
     wire::FlowBindings out;
     out.set_response(message.is_response);
-    out.set_knows_all(message.knows_all);
     for (auto const& binding : message.bindings)
     {
         to_wire(binding, *out.add_bindings());
@@ -334,8 +347,7 @@
     {
         return std::nullopt;
     }
-    binding_message message{.is_response = in.response(),
-                            .knows_all = in.knows_all()};
+    binding_message message{.is_response = in.response()};
     for (auto const& binding : in.bindings())
     {
         if (!from_wire(binding, message.bindings.emplace_back()))
--- a/dotterelrouter/codec/replication_codec_test.cpp
+++ b/dotterelrouter/codec/replication_codec_test.cpp
@@ -39,6 +39,7 @@
     message.store_reachable = false;
     message.draining = true;
     message.reply_requested = true;
+    message.uptime = 61s;
     message.known_forwarder_ips = {1, 2};
     auto const decoded =
         decode_heartbeat(as_byte_view(encode_heartbeat(message)));
@@ -49,6 +50,10 @@
     CHECK(!decoded->store_reachable && decoded->draining &&
           decoded->reply_requested);
     CHECK(decoded->known_forwarder_ips == message.known_forwarder_ips);
+    CHECK(decoded->uptime == 61s);
+    message.uptime = 24h;
+    CHECK(decode_heartbeat(as_byte_view(encode_heartbeat(message)))->uptime ==
+          127s);
     message.age.reset();
     CHECK(!decode_heartbeat(as_byte_view(encode_heartbeat(message)))->age);
 }
@@ -64,7 +69,6 @@
                          .is_proposal = true},
                         {.flow = testing::make_flow_key(7)}};
     message.is_response = true;
-    message.knows_all = true;
     auto const decoded =
         decode_bindings(as_byte_view(encode_bindings(message)));
     CHECK(decoded == message);
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -58,7 +58,6 @@
       reader_(settings.incarnation), reachability_(data_centre_),
       bindings_({.data_centre = data_centre_,
                  .flow_lifetime = settings.flow_lifetime}),
-      flow_lifetime_(settings.flow_lifetime),
       is_first_start_(settings.is_first_start)
 {
 }
@@ -74,8 +73,6 @@
         last_event_at_ = now.steady;
         // The socket is older than the first event by an unknown time.
         queue_ends_at_ = now.steady + internal::resume_grace_period;
-        bindings_.set_knows_all_from(
-            is_first_start_ ? now.steady : now.steady + flow_lifetime_);
         out.push_back(log_decision{
             .type = decision::started,
             .reason = is_first_start_ ? "first start of the whole fleet"
@@ -413,6 +410,7 @@
     message.store_reachable = reader_.is_store_reachable(now);
     message.draining = shutdown_started_at_.has_value();
     message.reply_requested = !directory_.has_routes();
+    message.uptime = now.steady - *started_at_;
     return message;
 }
 
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -357,7 +357,6 @@
     bool was_reader_ = false;
     bool reported_directory_lost_ = false;
     bool exit_requested_ = false;
-    duration flow_lifetime_;
     bool is_first_start_;              ///< See forwarder_settings.
     bool has_removed_servers_ = false; ///< See needs_removed_servers().
     /// Number of unreadable entries of the last read.
--- a/dotterelrouter/forwarding/internal/messages.hpp
+++ b/dotterelrouter/forwarding/internal/messages.hpp
@@ -25,6 +25,7 @@
     bool store_reachable = true;  ///< The sender can reach the store.
     bool draining = false;        ///< The sender is shutting down.
     bool reply_requested = false; ///< Asks the receiver to reply at once.
+    duration uptime{};            ///< Time since the sender started.
     /// Addresses of some forwarders that the sender knows.
     std::vector<std::uint32_t> known_forwarder_ips{};
 };
@@ -35,6 +36,8 @@
     endpoint heartbeat_endpoint{};
     std::uint64_t incarnation = 0; ///< Changes when it starts again.
     data_centre_id data_centre{};
+    /// When it started, as far as its heartbeats tell.
+    steady_time started_at{};
 
     friend bool operator==(live_forwarder, live_forwarder) = default;
 };
@@ -66,9 +69,6 @@
 {
     std::vector<flow_binding> bindings{};
     bool is_response = false;
-    /// Whether the sender has run for so long that it knows every binding of
-    /// which it was a keeper.
-    bool knows_all = false;
 
     friend bool operator==(binding_message const&,
                            binding_message const&) = default;
--- a/dotterelrouter/replication/internal/peers.hpp
+++ b/dotterelrouter/replication/internal/peers.hpp
@@ -34,6 +34,7 @@
     std::optional<steady_time> last_heard_at{};
     steady_time discovered_at{};
     std::uint64_t incarnation = 0;
+    steady_time started_at{}; ///< See live_forwarder.
     data_centre_id data_centre{};
     bool live = false; ///< A heartbeat was received recently enough.
     bool store_reachable = false;
--- a/dotterelrouter/replication/peers.cpp
+++ b/dotterelrouter/replication/peers.cpp
@@ -8,6 +8,10 @@
 namespace
 {
 
+/// Heartbeats tell the sender's uptime in whole seconds, and may be late. An
+/// estimate of its start replaces one that is later by more than this.
+constexpr duration start_time_precision = std::chrono::seconds{1};
+
 /// Lower bound of the time without a heartbeat after which a peer is not live.
 /// It applies where each round of heartbeats reaches all peers. A data centre
 /// is not live if no heartbeat of its forwarders arrived for this long.
@@ -106,8 +110,18 @@
                                    .subject = to_string(from)});
     }
     preceding_readers_ -= precedes_as_reader(from, sender) ? 1 : 0;
-    live_forwarders_version_ +=
-        outcome.is_sender_new || sender.draining != message.draining ? 1U : 0U;
+    auto const started_at = now.steady - message.uptime;
+    auto const is_start_corrected =
+        sender.incarnation != message.incarnation ||
+        started_at < sender.started_at - start_time_precision;
+    if (is_start_corrected)
+    {
+        sender.started_at = started_at;
+    }
+    live_forwarders_version_ += outcome.is_sender_new || is_start_corrected ||
+                                        sender.draining != message.draining
+                                    ? 1U
+                                    : 0U;
     sender.last_heard_at = now.steady;
     sender.incarnation = message.incarnation;
     sender.data_centre = message.data_centre;
@@ -374,8 +388,10 @@
     {
         if (state.live && !state.draining)
         {
-            forwarders.push_back(
-                {address, state.incarnation, state.data_centre});
+            forwarders.push_back({.heartbeat_endpoint = address,
+                                  .incarnation = state.incarnation,
+                                  .data_centre = state.data_centre,
+                                  .started_at = state.started_at});
         }
     }
     return forwarders;
