Ask for removed servers only once the directory is filled

A forwarder that starts asked the first peer that it heard for the removed servers, and as its own directory was empty still, got all servers and routes with them, beside those that it was reading from the store. It asks when it has its directory now.

--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -178,9 +178,9 @@
         freshness_.on_confirmed(*next_event.message.age + max_heartbeat_delay,
                                 now);
     }
-    if (!next_event.message.reply_requested && needs_removed_servers(now))
+    if (!next_event.message.reply_requested)
     {
-        request_changes_from(next_event.from, now, out);
+        request_removed_servers_from(next_event.from, now, out);
     }
     if (outcome.is_sender_new || next_event.message.reply_requested)
     {
@@ -193,7 +193,7 @@
                    forwarder_effects& out)
 {
     auto update = directory_.changes_after(next_event.after, now);
-    if (next_event.with_removed_servers && !needs_removed_servers(now))
+    if (next_event.with_removed_servers && knows_removed_servers(now))
     {
         update.removed_servers = directory_.removed_servers(now);
     }
@@ -304,6 +304,10 @@
         reachability_.forget_server(server);
     }
     bind_flows_at(changes.ambiguous_servers, now, out);
+    if (auto const peer = peers_.any_live_peer())
+    {
+        request_removed_servers_from(*peer, now, out);
+    }
     update_readiness(out);
     process_buffered_packets(now, out);
 }
@@ -360,10 +364,21 @@
     }
 }
 
-bool forwarder::needs_removed_servers(instant now) const
+bool forwarder::knows_removed_servers(instant now) const
 {
-    return !is_first_start_ && !has_removed_servers_ &&
-           now.steady - *started_at_ < removed_servers_request_period;
+    return is_first_start_ || has_removed_servers_ ||
+           now.steady - *started_at_ >= removed_servers_request_period;
+}
+
+void forwarder::request_removed_servers_from(endpoint peer,
+                                             instant now,
+                                             forwarder_effects& out)
+{
+    // Until the directory is filled, all servers would be requested.
+    if (directory_.has_routes() && !knows_removed_servers(now))
+    {
+        request_changes_from(peer, now, out);
+    }
 }
 
 void forwarder::request_changes_from(endpoint peer,
@@ -373,7 +388,7 @@
     if (peers_.begin_change_request(peer, now))
     {
         out.push_back(request_changes{
-            peer, directory_.version(), needs_removed_servers(now)});
+            peer, directory_.version(), !knows_removed_servers(now)});
     }
 }
 
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -299,9 +299,13 @@
                       forwarder_effects& out);
     /// Requests changes from a peer whose directory is ahead of this one.
     void request_changes_if_behind(instant now, forwarder_effects& out);
-    /// Whether servers are unknown here that were removed before this process
-    /// started, and peers may know them.
-    [[nodiscard]] bool needs_removed_servers(instant now) const;
+    /// Whether the servers that were removed before this process started are
+    /// known, as far as peers can tell.
+    [[nodiscard]] bool knows_removed_servers(instant now) const;
+    /// Requests those servers from a peer, unless they are known.
+    void request_removed_servers_from(endpoint peer,
+                                      instant now,
+                                      forwarder_effects& out);
     /// Requests changes from a peer, unless others were requested recently.
     void
     request_changes_from(endpoint peer, instant now, forwarder_effects& out);
@@ -358,7 +362,7 @@
     bool reported_directory_lost_ = false;
     bool exit_requested_ = false;
     bool is_first_start_;              ///< See forwarder_settings.
-    bool has_removed_servers_ = false; ///< See needs_removed_servers().
+    bool has_removed_servers_ = false; ///< See knows_removed_servers().
     /// Number of unreadable entries of the last read.
     std::uint32_t reported_unreadable_entries_ = 0;
 };
