Take both tokens of a server from one hash of 64 bits

Callers saw: with the two names of review/4 as the only servers of a service, every new flow was refused for as long as both lived.

Cause: the second token was XXH32 with another seed. The seed is only added to the state of that function, so that one in five pairs of names of 12 bytes that collide with one seed collide with the other one too. Both servers then had no token of their own.

Change: the tokens are the two halves of XXH64 of the name. hash_of_name() has no seed any more. Other uses of a hash: rendezvous ranks, keepers and draws of the load shedder mix 64-bit states and take no two seeds of one function; server ranks start from id_from_name(), so that two servers with one id rank alike, which only orders servers of equal load.

The first token of a name changes with this: see docs/DESIGN.md for upgrades.

--- a/dotterelrouter/config/configuration.cpp
+++ b/dotterelrouter/config/configuration.cpp
@@ -166,12 +166,12 @@
 
 std::uint32_t id_from_name(std::string_view name)
 {
-    return hash_of_name(name, 0);
+    return XXH32(name.data(), name.size(), 0);
 }
 
-std::uint32_t hash_of_name(std::string_view name, std::uint32_t seed)
+std::uint64_t hash_of_name(std::string_view name)
 {
-    return XXH32(name.data(), name.size(), seed);
+    return XXH64(name.data(), name.size(), 0);
 }
 
 std::string_view configuration::data_centre_name(data_centre_id id) const
--- a/dotterelrouter/config/internal/configuration.hpp
+++ b/dotterelrouter/config/internal/configuration.hpp
@@ -91,9 +91,10 @@
 /// build and on every machine; two names can have the same id.
 std::uint32_t id_from_name(std::string_view name);
 
-/// Returns a hash of a name, the same in every build and on every machine.
-/// Hashes with different seeds are independent. id_from_name has seed 0.
-std::uint32_t hash_of_name(std::string_view name, std::uint32_t seed);
+/// Returns a hash of a name, the same in every build and on every machine. Its
+/// bits are independent: names that agree in some of them don't agree in others
+/// more often than by chance. It is unrelated to id_from_name.
+std::uint64_t hash_of_name(std::string_view name);
 
 /// Everything that operators declared, at one epoch. Views and pointers that
 /// its functions return are valid as long as the object exists.
--- a/dotterelrouter/directory/internal/tokens.hpp
+++ b/dotterelrouter/directory/internal/tokens.hpp
@@ -67,8 +67,13 @@
 {
     auto const hash_mask = ((std::uint32_t{1} << hash_bits) - 1)
                            << internal::token_flag_bits;
-    auto const first = hash_of_name(name, 0) & hash_mask;
-    auto const second = hash_of_name(name, 1) & hash_mask;
+    // The halves of one hash, since hashes of one function with two seeds
+    // collide for the same short names.
+    constexpr unsigned half_bits = 32;
+    auto const hash = hash_of_name(name);
+    auto const first = static_cast<std::uint32_t>(hash) & hash_mask;
+    auto const second =
+        static_cast<std::uint32_t>(hash >> half_bits) & hash_mask;
     return {route_token{first == 0 ? hash_mask : first},
             route_token{second | internal::second_hash_flag}};
 }
--- a/testing/forwarding/name_pairs.hpp
+++ b/testing/forwarding/name_pairs.hpp
@@ -4,6 +4,7 @@
 
 #include "dotterelrouter/core/core.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <random>
 #include <string>
@@ -18,7 +19,10 @@
 class name_pair_search
 {
 public:
-    explicit name_pair_search(std::uint64_t seed) : random_(seed)
+    /// `name_size` is the size of the names in bytes, 3 or more.
+    explicit name_pair_search(std::uint64_t seed,
+                              std::size_t name_size = default_name_size)
+        : random_(seed), name_size_(name_size)
     {
     }
 
@@ -39,21 +43,30 @@
         }
     }
 
-private:
-    /// Returns a name like those of the platform's servers, of 40 random bits.
+    /// Returns a name like those of the platform's servers. Short names are
+    /// drawn from more characters, so that there are enough of them.
     std::string random_name()
     {
-        constexpr std::string_view digits = "0123456789abcdef";
-        constexpr int digit_count = 10;
+        constexpr std::string_view characters =
+            "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_";
+        constexpr std::size_t digit_count = 16;
+        auto const alphabet = characters.substr(
+            0,
+            name_size_ < default_name_size ? characters.size() : digit_count);
         std::string name = "i-";
-        for (int i = 0; i < digit_count; ++i)
+        while (name.size() < name_size_)
         {
-            name += digits[random_() % digits.size()];
+            name += alphabet[random_() % alphabet.size()];
         }
         return name;
     }
 
+private:
+    /// Size of the names of the platform's servers, which have 40 random bits.
+    static constexpr std::size_t default_name_size = 12;
+
     std::mt19937_64 random_;
+    std::size_t name_size_;
 };
 
 } // namespace dotterelrouter::testing
--- a/testing/forwarding/shared_tokens_test.cpp
+++ b/testing/forwarding/shared_tokens_test.cpp
@@ -202,6 +202,28 @@
     }
 }
 
+/// While two servers share the first token, all new flows are served, and by
+/// both. With a second hash that depended on the first one, all flows were
+/// refused for one pair in five, that of review/4 among them.
+TEST(shared_tokens, all_new_flows_are_served_if_no_other_server_is_there)
+{
+    constexpr int served_pair_count = 8;
+    std::vector<server_pair> pairs(
+        1,
+        {make_named_record("i-3d0f4bf384", older_number),
+         make_named_record("i-f6ca8c21dc", newer_number)});
+    while (pairs.size() < served_pair_count)
+    {
+        pairs.push_back(next_pair());
+    }
+    for (auto const& servers : pairs)
+    {
+        forwarder_group group{{"a"}, {servers.older, servers.newer}};
+        CHECK_EQUAL(2U, servers_of(open_flows(group, 0)).size());
+        CHECK_EQUAL(0U, group.refused_flows());
+    }
+}
+
 /// The older server drains and leaves; its token is the newer one's alone once
 /// no flow can be open there.
 TEST(shared_tokens, flows_of_a_server_that_drains_and_leaves_are_not_mixed_up)
