--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -49,6 +49,10 @@
     bool is_first_start = false;
     /// Size of the hash in tokens; see tokens_of_name().
     unsigned token_hash_bits = max_token_hash_bits;
+    /// Empty: cold servers have no limit.
+    std::optional<cold_start_limits> cold_limits{};
+    /// Empty: load is not shared, and flows are placed by this forwarder's own.
+    std::optional<load_sharing_settings> load_sharing{};
 };
 
 /// Current values of the gauge metrics.
--- a/dotterelrouter/forwarding/forwarding.hpp
+++ b/dotterelrouter/forwarding/forwarding.hpp
@@ -10,6 +10,8 @@
 
 #include "dotterelrouter/forwarding/internal/effects.hpp"
 #include "dotterelrouter/forwarding/internal/events.hpp"
+#include "dotterelrouter/forwarding/internal/load.hpp"
 #include "dotterelrouter/forwarding/internal/messages.hpp"
 #include "dotterelrouter/forwarding/internal/packets.hpp"
+#include "dotterelrouter/forwarding/internal/placement_settings.hpp"
 #include "dotterelrouter/forwarding/internal/records.hpp"
--- a/dotterelrouter/forwarding/internal/effects.hpp
+++ b/dotterelrouter/forwarding/internal/effects.hpp
@@ -122,6 +122,12 @@
     flow_rebound,
     flow_binding_unconfirmed,
     flow_ambiguous,
+    data_centre_evacuated,
+    data_centre_returned,
+    evacuation_completed,
+    cold_limit_reached,
+    spillover_changed,
+    shedding_changed,
     invariant_broken,
 };
 
@@ -166,6 +172,19 @@
     packets_ambiguous,
     /// Bindings dropped because the table was full.
     bindings_evicted,
+    /// Flows refused as all servers of their service are in evacuated data
+    /// centres.
+    flows_refused_evacuated,
+    /// New flows that a cold server did not get, to stay within its limit.
+    flows_kept_from_cold,
+    flows_placed_local,  ///< First attempts in the own data centre.
+    flows_placed_remote, ///< First attempts in other data centres.
+    /// Flows that were shed, of the most urgent routes and of the others.
+    flows_shed_urgent,
+    flows_shed_other,
+    load_reports_sent,
+    load_reports_received,
+    load_reports_dropped, ///< Outdated or duplicated.
     store_reads,
     store_failures,
     directory_updates,
--- a/dotterelrouter/forwarding/internal/records.hpp
+++ b/dotterelrouter/forwarding/internal/records.hpp
@@ -38,6 +38,19 @@
     friend bool operator==(route const&, route const&) = default;
 };
 
+/// What operators declare of a service.
+struct service_settings
+{
+    std::string name{};
+    duration cold_start{}; ///< How long its servers are cold after a start.
+    /// New flows per second that a cold server can bear. Empty if none is
+    /// declared: cold servers then have no limit.
+    std::optional<double> cold_rate{};
+
+    friend bool operator==(service_settings const&,
+                           service_settings const&) = default;
+};
+
 /// All routes of one version of the configuration.
 struct route_table
 {
@@ -46,6 +59,7 @@
     /// Time without packets after which a flow ends.
     duration idle_timeout = std::chrono::seconds{15};
     std::vector<route> routes{};
+    std::vector<service_settings> services{};
 
     friend bool operator==(route_table const&, route_table const&) = default;
 };
@@ -93,6 +107,18 @@
                            removed_server const&) = default;
 };
 
+/// An operator's request that no new flows go to the servers of a data centre.
+struct evacuation_record
+{
+    std::string name{};           ///< Name of the data centre.
+    data_centre_id data_centre{}; ///< Derived from `name`.
+    bool active = false;          ///< False: the request was withdrawn.
+    store_revision revision{};    ///< Revision of the last change.
+
+    friend bool operator==(evacuation_record const&,
+                           evacuation_record const&) = default;
+};
+
 /// How far a directory has come. A store that came back from an older copy may
 /// hold older routes than the directories that followed it.
 struct directory_version
@@ -123,6 +149,10 @@
     bool complete = false;
     std::shared_ptr<route_table const> routes{}; ///< Null if unchanged.
     std::vector<server_record> servers{};
+    std::vector<evacuation_record> evacuations{};
+    /// False if the sender does not know of evacuations, so that those it does
+    /// not list may be active.
+    bool lists_evacuations = false;
     /// Removed servers whose flows may still be open, for a forwarder that
     /// started after they were removed; empty if they were not requested or the
     /// sender may not know them.
--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -79,7 +79,9 @@
                     .incarnation = random_incarnation(),
                     .seeds = seed_endpoints(settings_),
                     .flow_lifetime = settings_.flow_lifetime,
-                    .is_first_start = settings_.is_first_start})
+                    .is_first_start = settings_.is_first_start,
+                    .cold_limits = settings_.cold_limits,
+                    .load_sharing = settings_.load_sharing})
     {
         reducer_timer_.set_deadline(clock_.now().steady);
         settings_check_timer_.set_deadline(clock_.now().steady +
--- a/dotterelrouter/telemetry/decision_log.cpp
+++ b/dotterelrouter/telemetry/decision_log.cpp
@@ -86,6 +86,12 @@
     std::string_view{"flow_rebound"},
     std::string_view{"flow_binding_unconfirmed"},
     std::string_view{"flow_ambiguous"},
+    std::string_view{"data_centre_evacuated"},
+    std::string_view{"data_centre_returned"},
+    std::string_view{"evacuation_completed"},
+    std::string_view{"cold_limit_reached"},
+    std::string_view{"spillover_changed"},
+    std::string_view{"shedding_changed"},
     std::string_view{"invariant_broken"},
 };
 static_assert(decision_names.size() ==
--- a/dotterelrouter/telemetry/forwarder_metrics.cpp
+++ b/dotterelrouter/telemetry/forwarder_metrics.cpp
@@ -48,6 +48,24 @@
         return "packets_ambiguous";
     case forwarder_counter::bindings_evicted:
         return "bindings_evicted";
+    case forwarder_counter::flows_refused_evacuated:
+        return "flows_refused_evacuated";
+    case forwarder_counter::flows_kept_from_cold:
+        return "flows_kept_from_cold";
+    case forwarder_counter::flows_placed_local:
+        return "flows_placed_local";
+    case forwarder_counter::flows_placed_remote:
+        return "flows_placed_remote";
+    case forwarder_counter::flows_shed_urgent:
+        return "flows_shed_urgent";
+    case forwarder_counter::flows_shed_other:
+        return "flows_shed_other";
+    case forwarder_counter::load_reports_sent:
+        return "load_reports_sent";
+    case forwarder_counter::load_reports_received:
+        return "load_reports_received";
+    case forwarder_counter::load_reports_dropped:
+        return "load_reports_dropped";
     case forwarder_counter::store_reads:
         return "store_reads";
     case forwarder_counter::store_failures:
