--- /dev/null
+++ b/dotterelrouter/bindings/binding_messages.cpp
@@ -0,0 +1,245 @@
+// Messages between forwarders about bindings: proposals, questions and the
+// responses to them.
+#include "dotterelrouter/bindings/internal/binding_messages.hpp"
+
+#include "dotterelrouter/bindings/internal/binding_table.hpp"
+
+#include <algorithm>
+
+namespace dotterelrouter
+{
+
+using internal::is_same_flow;
+using internal::send_all;
+
+namespace
+{
+
+/// Maximum number of bindings in a message, and of bytes of the names in them,
+/// so that it fits into a datagram.
+constexpr std::size_t max_bindings_per_message = 24;
+constexpr std::size_t max_name_bytes_per_message = 384;
+/// Forwarders whose starts lie less than this apart count as started together:
+/// hardly a flow is bound in between.
+constexpr duration max_start_difference = std::chrono::seconds{1};
+
+/// Returns how many of these bindings go into one message; at least one.
+std::size_t count_that_fit(std::span<flow_binding const> bindings)
+{
+    std::size_t count = 1;
+    auto name_bytes = bindings.front().server.size();
+    while (count < std::min(bindings.size(), max_bindings_per_message))
+    {
+        name_bytes += bindings[count].server.size();
+        if (name_bytes > max_name_bytes_per_message)
+        {
+            break;
+        }
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+void internal::send_all(endpoint destination,
+                        binding_message const& message,
+                        forwarder_effects& out)
+{
+    std::span<flow_binding const> bindings{message.bindings};
+    while (!bindings.empty())
+    {
+        auto const part = bindings.first(count_that_fit(bindings));
+        out.push_back(send_bindings{destination,
+                                    {.bindings = {part.begin(), part.end()},
+                                     .is_response = message.is_response}});
+        bindings = bindings.subspan(part.size());
+    }
+}
+
+std::vector<flow_key> binding_table::on_message(endpoint from,
+                                                binding_message const& message,
+                                                instant now,
+                                                forwarder_effects& out)
+{
+    std::vector<flow_key> replaced;
+    binding_message response{.is_response = true};
+    for (auto const& received : message.bindings)
+    {
+        auto const found = entries_.find(received.flow);
+        auto const is_replaced = found != entries_.end() &&
+                                 replace_if_later(found->second, received, now);
+        auto const is_learned =
+            message.is_response && on_answer(received, from, now, out);
+        if (is_replaced || is_learned)
+        {
+            replaced.push_back(received.flow);
+            out.push_back(log_decision{
+                .type = decision::flow_rebound,
+                .flow = received.flow,
+                .subject = received.server,
+                .reason = "another forwarder bound the flow before",
+                .age = received.age});
+        }
+        if (message.is_response)
+        {
+            if (on_response(received, from, now))
+            {
+                announce_confirmed(received.flow, now, out);
+            }
+            continue;
+        }
+        response.bindings.push_back(received.server.empty()
+                                        ? answer_to(received, now)
+                                        : merge(received, from, now, out));
+    }
+    send_all(from, response, out);
+    return replaced;
+}
+
+flow_binding binding_table::answer_to(flow_binding const& asked,
+                                      instant now) const
+{
+    auto const found = entries_.find(asked.flow);
+    return found != entries_.end() && is_same_flow(found->second.binding, asked)
+               ? to_message(found->second, now)
+               : asked;
+}
+
+flow_binding binding_table::merge(flow_binding const& received,
+                                  endpoint from,
+                                  instant now,
+                                  forwarder_effects& out)
+{
+    auto const bound_at = now.steady - received.age;
+    auto const found = entries_.find(received.flow);
+    auto const is_held = found != entries_.end() &&
+                         (is_same_flow(found->second.binding, received) ||
+                          found->second.bound_at > bound_at);
+    if (is_held)
+    {
+        auto& bound = found->second;
+        mark_informed(bound, from);
+        bound.is_settled |=
+            !received.is_proposal && bound.binding.server == received.server;
+        return to_message(bound, now);
+    }
+    auto& bound = insert(received, bound_at, now, out);
+    // The sender informs the other keepers. This forwarder does so only once
+    // there are others than now.
+    bound.informed = keeper_runs(received.flow);
+    bound.is_settled = !received.is_proposal;
+    bound.is_foreign_proposal = received.is_proposal;
+    mark_informed(bound, from);
+    return received;
+}
+
+bool binding_table::on_answer(flow_binding const& answer,
+                              endpoint from,
+                              instant now,
+                              forwarder_effects& out)
+{
+    auto const found = questions_.find(answer.flow);
+    if (found == questions_.end() || !is_same_flow(found->second.asked, answer))
+    {
+        return false;
+    }
+    if (answer.server.empty() || answer.is_proposal)
+    {
+        std::erase(found->second.unanswered, from);
+        std::erase(found->second.unanswered_keepers, from);
+        return false;
+    }
+    auto& bound = insert(answer, now.steady - answer.age, now, out);
+    bound.informed = keeper_runs(answer.flow);
+    bound.is_settled = true;
+    mark_informed(bound, from);
+    return true;
+}
+
+bool binding_table::on_response(flow_binding const& held,
+                                endpoint from,
+                                instant now)
+{
+    auto const found = entries_.find(held.flow);
+    if (found == entries_.end() || held.server.empty())
+    {
+        return false;
+    }
+    auto& bound = found->second;
+    auto const was_settled = bound.is_settled;
+    bound.is_settled |=
+        !held.is_proposal || !may_know_more(bound.unconfirmed, from, now);
+    if (is_same_flow(bound.binding, held) &&
+        bound.binding.server != held.server)
+    {
+        // The keeper holds a later binding, and is sent this one.
+        return bound.is_settled && !was_settled;
+    }
+    mark_informed(bound, from);
+    std::erase_if(bound.unconfirmed,
+                  [&](peer_run const& keeper)
+                  {
+                      return keeper.address == from;
+                  });
+    bound.is_settled |= bound.unconfirmed.empty();
+    auto const is_own_proposal = !bound.is_foreign_proposal;
+    bound.is_foreign_proposal &= !bound.is_settled;
+    return bound.is_settled && !was_settled && is_own_proposal;
+}
+
+bool binding_table::may_know_more(std::span<peer_run const> silent_keepers,
+                                  endpoint responder,
+                                  instant now) const
+{
+    auto const* const responding = find_forwarder(responder);
+    if (responding == nullptr ||
+        now.steady - responding->started_at >= settings_.flow_lifetime)
+    {
+        return responding == nullptr;
+    }
+    return std::ranges::any_of(
+        silent_keepers,
+        [&](peer_run const& keeper)
+        {
+            auto const* const silent = find_forwarder(keeper.address);
+            return silent != nullptr &&
+                   silent->started_at + max_start_difference <
+                       responding->started_at;
+        });
+}
+
+void binding_table::announce_confirmed(flow_key flow,
+                                       instant now,
+                                       forwarder_effects& out)
+{
+    auto const& bound = entries_.at(flow);
+    for (auto const& keeper : keeper_runs(flow))
+    {
+        send_all(keeper.address,
+                 {.bindings = {to_message(bound, now)}, .is_response = true},
+                 out);
+    }
+}
+
+bool binding_table::replace_if_later(entry& bound,
+                                     flow_binding const& other,
+                                     instant now)
+{
+    auto const bound_at = now.steady - other.age;
+    if (!is_same_flow(bound.binding, other) || other.server.empty() ||
+        bound.binding.server == other.server || bound.bound_at <= bound_at)
+    {
+        return false;
+    }
+    bound.binding = other;
+    bound.bound_at = bound_at;
+    // Keepers may hold the later binding.
+    bound.informed.clear();
+    bound.is_settled = !other.is_proposal;
+    bound.is_foreign_proposal = false;
+    schedule_check(bound, now.steady);
+    return true;
+}
+
+} // namespace dotterelrouter
