Keep new flows from evacuated data centres

Operators write op/evacuate/NAME to the store, and nothing read it: new flows reached evacuated data centres. The directory now merges these requests by revision and passes them on; the forwarder excludes their servers at every attempt, and refuses a flow at once if its service has no other server.

--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -259,6 +259,29 @@
     return from_wire(in.server(), services, out.record);
 }
 
+void to_wire(evacuation_record const& value, wire::Evacuation& out)
+{
+    out.set_name(value.name);
+    out.set_active(value.active);
+    out.set_revision(value.revision.value);
+    out.set_era(value.revision.era);
+    if (value.expires_in)
+    {
+        out.set_expires_ms_and_one(to_milliseconds(*value.expires_in) + 1);
+    }
+}
+
+bool from_wire(wire::Evacuation const& in, evacuation_record& out)
+{
+    out.name = in.name();
+    out.data_centre = {id_from_name(out.name)};
+    out.active = in.active();
+    out.revision = {in.revision(), in.era()};
+    return !out.name.empty() && (in.expires_ms_and_one() == 0 ||
+                                 from_milliseconds(in.expires_ms_and_one() - 1,
+                                                   out.expires_in.emplace()));
+}
+
 void to_wire(flow_binding const& value, wire::FlowBinding& out)
 {
     out.set_caller_ip(value.flow.caller.ip);
@@ -409,6 +432,11 @@
     {
         to_wire(server, services, *out.add_servers());
     }
+    out.set_lists_evacuations(update.lists_evacuations);
+    for (auto const& evacuation : update.evacuations)
+    {
+        to_wire(evacuation, *out.add_evacuations());
+    }
     if (update.removed_servers)
     {
         out.set_lists_removed_servers(true);
@@ -452,6 +480,14 @@
             return std::nullopt;
         }
     }
+    response.update.lists_evacuations = in.lists_evacuations();
+    for (auto const& evacuation : in.evacuations())
+    {
+        if (!from_wire(evacuation, response.update.evacuations.emplace_back()))
+        {
+            return std::nullopt;
+        }
+    }
     if (!in.lists_removed_servers())
     {
         return response;
--- a/dotterelrouter/directory/directory.cpp
+++ b/dotterelrouter/directory/directory.cpp
@@ -131,6 +131,7 @@
     {
         revision_ = update.through;
     }
+    evacuations_.on_update(update, now, out);
     rebuild_services();
     return changes;
 }
@@ -339,13 +340,13 @@
 void directory::rebuild_services()
 {
     services_.clear();
-    next_timer_at_.reset();
+    next_expiry_.reset();
     for (auto const& [id, server] : servers_)
     {
         if (auto const expiry = expiry_of(server);
-            expiry && (!next_timer_at_ || *expiry < *next_timer_at_))
+            expiry && (!next_expiry_ || *expiry < *next_expiry_))
         {
-            next_timer_at_ = expiry;
+            next_expiry_ = expiry;
         }
         if (server.record.state == server_state::gone)
         {
@@ -371,11 +372,22 @@
 
 std::vector<server_id> directory::on_timer(instant now, forwarder_effects& out)
 {
-    std::vector<server_id> erased;
-    if (!next_timer_at_ || now.steady < *next_timer_at_)
+    auto const is_due = [now](std::optional<steady_time> deadline)
+    {
+        return deadline && now.steady >= *deadline;
+    };
+    if (is_due(evacuations_.next_timer_at()))
     {
-        return erased;
+        evacuations_.on_timer(now, out);
     }
+    return is_due(next_expiry_) ? expire_servers(now, out)
+                                : std::vector<server_id>{};
+}
+
+std::vector<server_id> directory::expire_servers(instant now,
+                                                 forwarder_effects& out)
+{
+    std::vector<server_id> erased;
     for (auto& [id, server] : servers_)
     {
         auto const expiry = expiry_of(server);
@@ -402,7 +414,12 @@
 
 std::optional<steady_time> directory::next_timer_at() const
 {
-    return next_timer_at_;
+    auto const evacuation_timer = evacuations_.next_timer_at();
+    if (!next_expiry_ || !evacuation_timer)
+    {
+        return next_expiry_ ? next_expiry_ : evacuation_timer;
+    }
+    return std::min(*next_expiry_, *evacuation_timer);
 }
 
 duration directory::idle_timeout() const
@@ -495,7 +512,11 @@
     directory_update update{.through = revision_};
     update.complete = after.revision == store_revision{} ||
                       after.revision.era < revision_.era ||
-                      after.revision < erased_through_;
+                      after.revision < erased_through_ ||
+                      after.revision < evacuations_.erased_through();
+    update.lists_evacuations = evacuations_.is_complete();
+    update.evacuations = evacuations_.changes_after(
+        update.complete ? store_revision{} : after.revision, now);
     if (routes_version() > after.routes_version)
     {
         update.routes = routes_;
--- a/dotterelrouter/directory/directory.hpp
+++ b/dotterelrouter/directory/directory.hpp
@@ -1,5 +1,6 @@
 // The directory maps service addresses to services, and services to their
-// backend servers. It merges updates from the store and from other forwarders.
+// backend servers, and knows which data centres are evacuated. It merges
+// updates from the store and from other forwarders.
 //
 //     directory merged;
 //     merged.on_update(update, now, out); // ignores older revisions
@@ -24,6 +25,7 @@
 
 #include "dotterelrouter/directory/internal/token_index.hpp"
 #include "dotterelrouter/directory/internal/tokens.hpp"
+#include "dotterelrouter/evacuation/evacuation.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
 #include <array>
@@ -90,8 +92,8 @@
                                 forwarder_effects& out);
 
     /// Marks servers as gone whose grace period is over, and erases those whose
-    /// retention period is over, which it returns. Does nothing before
-    /// next_timer_at().
+    /// retention period is over, which it returns. Ends evacuations that are
+    /// due. Does nothing before next_timer_at().
     std::vector<server_id> on_timer(instant now, forwarder_effects& out);
 
     /// Returns when on_timer is due next; none if no state depends on time.
@@ -155,6 +157,24 @@
     [[nodiscard]] server_entry const* first_server_of(route_token token,
                                                       instant now) const;
 
+    /// Whether the servers of a data centre may get no new flows.
+    [[nodiscard]] bool is_evacuated(data_centre_id data_centre) const
+    {
+        return evacuations_.is_evacuated(data_centre);
+    }
+
+    /// Returns the evacuations in force.
+    [[nodiscard]] std::span<evacuation_record const> active_evacuations() const
+    {
+        return evacuations_.active();
+    }
+
+    /// Whether no evacuation can be missing; see evacuation_list.
+    [[nodiscard]] bool has_all_evacuations() const
+    {
+        return evacuations_.is_complete();
+    }
+
     /// Returns the servers that are expired or gone and not erased yet.
     [[nodiscard]] std::vector<removed_server>
     removed_servers(instant now) const;
@@ -197,6 +217,8 @@
                                instant now,
                                forwarder_effects& out);
     void rebuild_services();
+    /// Changes the state of servers whose state ends, and returns those erased.
+    std::vector<server_id> expire_servers(instant now, forwarder_effects& out);
 
     store_revision revision_{};
     /// Highest revision of a complete update: a server that is unknown and was
@@ -213,7 +235,9 @@
     internal::token_index token_index_{};
     std::uint32_t last_server_id_ = 0; ///< Ids are never assigned again.
     string_map<service> services_{};
-    std::optional<steady_time> next_timer_at_{};
+    /// Earliest end of a server's state.
+    std::optional<steady_time> next_expiry_{};
+    evacuation_list evacuations_{};
 };
 
 } // namespace dotterelrouter
--- a/dotterelrouter/forwarder/flows.cpp
+++ b/dotterelrouter/forwarder/flows.cpp
@@ -85,7 +85,11 @@
     {
         return;
     }
-    if (auto const* const server = directory_.find_server(flow.server))
+    auto const* const server = directory_.find_server(flow.server);
+    // The servers of an evacuated data centre may stop. Suspicions of them
+    // would delay its return.
+    if (server != nullptr &&
+        !directory_.is_evacuated(server->record.data_centre))
     {
         reachability_.on_handshake_timeout(
             to_handshake_target(*server), now, out);
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -58,6 +58,7 @@
       reader_(settings.incarnation), reachability_(data_centre_),
       bindings_({.data_centre = data_centre_,
                  .flow_lifetime = settings.flow_lifetime}),
+      expects_evacuations_(settings.expects_evacuations),
       is_first_start_(settings.is_first_start)
 {
 }
@@ -128,6 +129,7 @@
     report_unreadable(next_event.unreadable_entries, out);
     if (auto const snapshot = reader_.on_snapshot_page(next_event, out))
     {
+        last_snapshot_at_ = now.steady;
         confirm_unless_outdated(snapshot->through, now);
         apply_update(*snapshot, now, out);
         peers_.send_heartbeats_now(make_heartbeat(now), now, out);
@@ -249,6 +251,7 @@
         reachability_.on_data_centre_silence_changed(data_centre, !live);
     }
     process_due_flows(now, out);
+    report_evacuations(now, out);
     bindings_.on_timer(now, out);
     release_held_flows({}, now, out);
     update_reader(now, out);
@@ -344,8 +347,15 @@
                                    .reason = is_reader ? "reads the store"
                                                        : "reads from peers"});
     }
-    reader_.start_read_if_due(
-        is_reader || is_stale(now), directory_.revision(), now, out);
+    auto const reads_evacuations = should_read_evacuations(now);
+    if (reads_evacuations)
+    {
+        reader_.require_snapshot("a peer did not list evacuations");
+    }
+    reader_.start_read_if_due(is_reader || is_stale(now) || reads_evacuations,
+                              directory_.revision(),
+                              now,
+                              out);
 }
 
 void forwarder::request_changes_if_behind(instant now, forwarder_effects& out)
@@ -503,11 +513,17 @@
 
 forwarder_gauges forwarder::gauges(instant now) const
 {
-    return {.routes_version = directory_.routes_version(),
-            .revision = directory_.revision(),
-            .directory_age = freshness_.age(now),
-            .tracked_flows = flows_.size(),
-            .bindings = bindings_.size()};
+    forwarder_gauges gauges{.routes_version = directory_.routes_version(),
+                            .revision = directory_.revision(),
+                            .directory_age = freshness_.age(now),
+                            .tracked_flows = flows_.size(),
+                            .bindings = bindings_.size()};
+    for (auto const& evacuation : directory_.active_evacuations())
+    {
+        ++gauges.evacuated_data_centres;
+        gauges.flows_at_evacuated += flows_at(evacuation.data_centre);
+    }
+    return gauges;
 }
 
 } // namespace dotterelrouter
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -51,6 +51,9 @@
     unsigned token_hash_bits = max_token_hash_bits;
     /// Empty: cold servers have no limit.
     std::optional<cold_start_limits> cold_limits{};
+    /// Whether operators evacuate data centres. If a peer of an earlier version
+    /// has passed on changes without evacuations, the store is then read.
+    bool expects_evacuations = false;
     /// Empty: load is not shared, and flows are placed by this forwarder's own.
     std::optional<load_sharing_settings> load_sharing{};
 };
@@ -67,6 +70,11 @@
     std::size_t tracked_flows = 0;
     /// Number of bindings of flows that this forwarder holds.
     std::size_t bindings = 0;
+    /// Number of evacuated data centres.
+    std::size_t evacuated_data_centres = 0;
+    /// Flows that this forwarder placed at their servers and that are not
+    /// closed.
+    std::size_t flows_at_evacuated = 0;
 };
 
 /// Decides where each packet goes, and keeps the directory up to date.
@@ -278,6 +286,11 @@
                        instant now);
     [[nodiscard]] bool should_admit(route const& flow_route,
                                     flow_key flow) const;
+    /// Refuses a flow for which there was no server, and says why.
+    void refuse_unplaced_flow(caller_packet const& packet,
+                              route const& flow_route,
+                              instant now,
+                              forwarder_effects& out);
     void refuse_packet(caller_packet const& packet,
                        std::string_view reason,
                        instant now,
@@ -297,6 +310,21 @@
                           instant now,
                           forwarder_effects& out);
 
+    // Evacuations.
+    /// Whether a copy of a flow's first packet may go to the server at which
+    /// the flow is open. If not, the copy is late and nothing waits for it.
+    [[nodiscard]] bool accepts_first_packets(server_entry const& server) const;
+    /// Whether all servers of a service that are not draining are in evacuated
+    /// data centres, and there is one.
+    [[nodiscard]] bool is_all_evacuated(service const& target_service) const;
+    /// Number of flows at the servers of a data centre that may be open.
+    [[nodiscard]] std::size_t flows_at(data_centre_id data_centre) const;
+    /// Logs the evacuations of data centres where no flow is open any more that
+    /// this forwarder placed.
+    void report_evacuations(instant now, forwarder_effects& out);
+    /// Whether the store must be read since the evacuations are not known.
+    [[nodiscard]] bool should_read_evacuations(instant now) const;
+
     // Directory updates.
     void apply_update(directory_update const& update,
                       instant now,
@@ -365,8 +393,13 @@
     bool was_reader_ = false;
     bool reported_directory_lost_ = false;
     bool exit_requested_ = false;
+    bool expects_evacuations_;         ///< See forwarder_settings.
     bool is_first_start_;              ///< See forwarder_settings.
     bool has_removed_servers_ = false; ///< See knows_removed_servers().
+    /// Revisions of the evacuations that were reported as completed.
+    std::vector<store_revision> completed_evacuations_{};
+    steady_time next_evacuation_report_at_{};
+    std::optional<steady_time> last_snapshot_at_{};
     /// Number of unreadable entries of the last read.
     std::uint32_t reported_unreadable_entries_ = 0;
 };
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -146,7 +146,8 @@
     flow->arrived_after = earliest_arrival(now);
     if (flow->opened)
     {
-        if (auto const* const server = directory_.find_server(flow->server))
+        auto const* const server = directory_.find_server(flow->server);
+        if (server != nullptr && accepts_first_packets(*server))
         {
             forward_to(*server, packet.bytes, later_token_of(*server), out);
         }
@@ -166,7 +167,7 @@
     if (flow->attempts == 0 && attempts_before == 0)
     {
         flows_.remove(packet.flow);
-        refuse_packet(packet, "no server", now, out);
+        refuse_unplaced_flow(packet, *flow_route, now, out);
     }
 }
 
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -110,7 +110,7 @@
     std::size_t suspected = 0;
     for (auto const& server : target_service.all_servers())
     {
-        if (!server.draining &&
+        if (!server.draining && !directory_.is_evacuated(server.data_centre) &&
             reachability_.is_data_centre_usable(server.data_centre, now))
         {
             ++total;
@@ -126,13 +126,15 @@
 {
     auto const is_suspicion_ignored =
         is_majority_suspected(target_service, now);
-    auto const has_token = [&](server_id server)
+    auto const is_eligible = [&](server_id server)
     {
-        return directory_.find_server(server)->token != route_token{};
+        auto const* const candidate = directory_.find_server(server);
+        return candidate->token != route_token{} &&
+               !directory_.is_evacuated(candidate->record.data_centre);
     };
     auto const is_unattempted = [&](server_id server)
     {
-        return has_token(server) && !flow.has_attempted(server);
+        return is_eligible(server) && !flow.has_attempted(server);
     };
     auto const is_reachable = [&](server_id server)
     {
@@ -166,7 +168,7 @@
             return is_unattempted(server) && is_reachable(server);
         });
     choice = choice ? choice : choose_among(is_unattempted);
-    choice = choice ? choice : choose_among(has_token);
+    choice = choice ? choice : choose_among(is_eligible);
     return choice ? std::optional{choice->server} : std::nullopt;
 }
 
--- a/dotterelrouter/forwarding/internal/records.hpp
+++ b/dotterelrouter/forwarding/internal/records.hpp
@@ -114,6 +114,9 @@
     data_centre_id data_centre{}; ///< Derived from `name`.
     bool active = false;          ///< False: the request was withdrawn.
     store_revision revision{};    ///< Revision of the last change.
+    /// Set if the store came back from an older copy that does not list the
+    /// entry: the time for which the sender of the record keeps it.
+    std::optional<duration> expires_in{};
 
     friend bool operator==(evacuation_record const&,
                            evacuation_record const&) = default;
--- a/dotterelrouter/replication/internal/store_reader.hpp
+++ b/dotterelrouter/replication/internal/store_reader.hpp
@@ -30,6 +30,14 @@
                            instant now,
                            forwarder_effects& out);
 
+    /// Makes the next read a full snapshot. `reason` is for the log, and must be
+    /// a string literal.
+    void require_snapshot(std::string_view reason)
+    {
+        snapshot_needed_ = true;
+        snapshot_reason_ = reason;
+    }
+
     /// Adds a page to the snapshot. Requests the next page and returns nothing
     /// unless this was the last one; otherwise returns the whole snapshot and
     /// ends the read. Starts the snapshot over if the store came back from an
--- a/dotterelrouter/replication/store_reader.cpp
+++ b/dotterelrouter/replication/store_reader.cpp
@@ -81,7 +81,10 @@
         // Pages are read at different revisions. The snapshot takes the
         // revision of the first one, so that the watch that follows reports
         // every change made since then.
-        partial_snapshot_ = {.through = page.update.through, .complete = true};
+        partial_snapshot_ = {.through = page.update.through,
+                             .complete = true,
+                             .lists_evacuations =
+                                 page.update.lists_evacuations};
         assembling_snapshot_ = true;
     }
     if (page.update.routes)
@@ -90,6 +93,9 @@
     }
     std::ranges::copy(page.update.servers,
                       std::back_inserter(partial_snapshot_.servers));
+    std::ranges::copy(page.update.evacuations,
+                      std::back_inserter(partial_snapshot_.evacuations));
+    partial_snapshot_.lists_evacuations &= page.update.lists_evacuations;
     if (!page.next_after_key.empty())
     {
         request_page(page.next_after_key, out);
--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -81,6 +81,7 @@
                     .flow_lifetime = settings_.flow_lifetime,
                     .is_first_start = settings_.is_first_start,
                     .cold_limits = settings_.cold_limits,
+                    .expects_evacuations = settings_.expects_evacuations,
                     .load_sharing = settings_.load_sharing})
     {
         reducer_timer_.set_deadline(clock_.now().steady);
@@ -449,6 +450,8 @@
              .directory_age_seconds = directory_age.count(),
              .tracked_flows = gauges.tracked_flows,
              .bindings = gauges.bindings,
+             .evacuated_data_centres = gauges.evacuated_data_centres,
+             .flows_at_evacuated = gauges.flows_at_evacuated,
              .datagrams_dropped = statistics.dropped_full +
                                   statistics.dropped_oversized +
                                   statistics.send_errors,
--- a/dotterelrouter/telemetry/internal/forwarder_metrics.hpp
+++ b/dotterelrouter/telemetry/internal/forwarder_metrics.hpp
@@ -28,6 +28,11 @@
 
     std::size_t bindings = 0; ///< Bindings of flows that are held.
 
+    std::size_t evacuated_data_centres = 0;
+
+    /// Flows that this forwarder placed there and that are not closed.
+    std::size_t flows_at_evacuated = 0;
+
     /// Datagrams that were oversized, found a full buffer or failed to be sent.
     std::uint64_t datagrams_dropped = 0;
 
