Test evacuations without a network, and document them

The simulated fleet has three data centres if its operator evacuates them, and reports a first packet that reaches an evacuated one later than 5 s after the write.

--- a/dotterelrouter/codec/replication_codec_test.cpp
+++ b/dotterelrouter/codec/replication_codec_test.cpp
@@ -147,6 +147,53 @@
                ->update.removed_servers);
 }
 
+TEST(replication_codec, evacuations_are_unchanged_after_round_trip)
+{
+    directory_update update;
+    update.lists_evacuations = true;
+    update.evacuations = {{.name = "ie-east",
+                           .data_centre = {id_from_name("ie-east")},
+                           .active = true,
+                           .revision = {25, 2},
+                           .expires_in = 1500ms},
+                          {.name = "ie-west",
+                           .data_centre = {id_from_name("ie-west")},
+                           .revision = {UINT64_MAX, 2}}};
+    auto const bytes = encode_directory_update(update, std::nullopt);
+    auto const decoded = decode_directory_update(as_byte_view(bytes));
+    CHECK(decoded.has_value());
+    CHECK(decoded->update.lists_evacuations);
+    CHECK(decoded->update.evacuations == update.evacuations);
+    CHECK(!decoded->update.complete);
+}
+
+/// A forwarder of an earlier version doesn't write the new fields.
+TEST(replication_codec, update_without_evacuations_does_not_list_them)
+{
+    auto const decoded =
+        decode_directory_update(as_byte_view(std::string{"\x08\x1e\x10\x01"}));
+    CHECK(decoded.has_value());
+    LONGS_EQUAL(30, decoded->update.through.value);
+    CHECK(decoded->update.complete);
+    CHECK(!decoded->update.lists_evacuations);
+}
+
+TEST(replication_codec, malformed_evacuations_are_rejected)
+{
+    directory_update update;
+    update.evacuations = {{.name = "", .active = true, .revision = {25}}};
+    CHECK(!decode_directory_update(
+        as_byte_view(encode_directory_update(update, 5ms))));
+    update.evacuations[0].name = "ie-east";
+    update.evacuations[0].expires_in = 24h + 1ms;
+    CHECK(!decode_directory_update(
+        as_byte_view(encode_directory_update(update, 5ms))));
+    update.evacuations[0].expires_in = 24h;
+    CHECK(decode_directory_update(
+              as_byte_view(encode_directory_update(update, 5ms)))
+              .has_value());
+}
+
 TEST(replication_codec, changes_query_is_unchanged_after_round_trip)
 {
     changes_query const query{{{90, 2}, 11}, true};
@@ -180,6 +227,8 @@
     update.routes = make_route_table(4, 20);
     update.servers = {make_server_record(1, 25)};
     update.removed_servers = {{{make_server_record(2, 26), 1s}}};
+    update.evacuations = {
+        {.name = "a", .active = true, .revision = {27}, .expires_in = 9min}};
     auto const valid_bytes = encode_directory_update(update, 5ms);
     for (int iteration = 0; iteration < iterations; ++iteration)
     {
--- a/dotterelrouter/directory/directory_test.cpp
+++ b/dotterelrouter/directory/directory_test.cpp
@@ -276,6 +276,67 @@
     CHECK(!merged.version().is_ahead_of(started_later.version()));
 }
 
+TEST(directory, evacuations_are_passed_on_with_other_changes)
+{
+    auto const data_centre = data_centre_id{id_from_name("a")};
+    directory_update first =
+        update(10, {make_server_record(1, 9)}, make_route_table(3, 8));
+    first.complete = true;
+    first.lists_evacuations = true;
+    merge(first);
+    directory copy;
+    copy.on_update(merged.changes_after({}, now), now, out);
+    CHECK(copy.has_all_evacuations());
+    auto evacuation = update(11, {});
+    evacuation.evacuations = {{.name = "a",
+                               .data_centre = data_centre,
+                               .active = true,
+                               .revision = {11}}};
+    evacuation.lists_evacuations = true;
+    merge(evacuation);
+    CHECK(merged.version().is_ahead_of(copy.version()));
+    auto const changes = merged.changes_after(copy.version(), now);
+    CHECK(!changes.complete);
+    LONGS_EQUAL(1, changes.evacuations.size());
+    copy.on_update(changes, now, out);
+    CHECK(copy.is_evacuated(data_centre));
+    directory started_later;
+    started_later.on_update(merged.changes_after({}, now), now, out);
+    CHECK(started_later.is_evacuated(data_centre));
+    LONGS_EQUAL(0, merged.changes_after({{11}, 3}, now).evacuations.size());
+}
+
+/// A peer that does not know all evacuations must not end those of another.
+TEST(directory, directory_without_all_evacuations_says_so)
+{
+    auto first = update(10, {}, make_route_table(3, 8));
+    first.complete = true;
+    merge(first);
+    CHECK(!merged.changes_after({}, now).lists_evacuations);
+    first.lists_evacuations = true;
+    merge(first);
+    CHECK(merged.changes_after({}, now).lists_evacuations);
+}
+
+TEST(directory, timer_ends_evacuations_beside_servers)
+{
+    auto withdrawal = update(10, {make_server_record(1, 9)});
+    withdrawal.evacuations = {
+        {.name = "a", .data_centre = {id_from_name("a")}, .revision = {10}}};
+    withdrawal.lists_evacuations = true;
+    merge(withdrawal);
+    CHECK(merged.next_timer_at() == now.steady + evacuation_retention_period);
+    server_record removed;
+    removed.name = "s1";
+    removed.revision = {11};
+    merge(update(11, {removed}));
+    CHECK(merged.next_timer_at() == now.steady + 2500ms);
+    advance(evacuation_retention_period);
+    advance(71s);
+    CHECK(!merged.next_timer_at());
+    CHECK(merged.changes_after({{9}}, now).complete);
+}
+
 TEST(directory, restored_entry_does_not_make_a_draining_server_ready)
 {
     merge(update(23,
--- a/dotterelrouter/replication/replication_test.cpp
+++ b/dotterelrouter/replication/replication_test.cpp
@@ -282,6 +282,36 @@
     LONGS_EQUAL(1, snapshot->servers.size());
 }
 
+/// A page that was left out would end the evacuations that it lists.
+TEST(store_reader, snapshot_has_the_evacuations_of_all_pages)
+{
+    begin_read(0);
+    snapshot_page_read page;
+    page.update.through = {9};
+    page.update.lists_evacuations = true;
+    page.update.evacuations = {{.name = "a", .active = true}};
+    page.next_after_key = "k";
+    CHECK(!reader.on_snapshot_page(page, out).has_value());
+    page.update.evacuations = {{.name = "b", .active = true}};
+    page.next_after_key.clear();
+    auto const snapshot = reader.on_snapshot_page(page, out);
+    LONGS_EQUAL(2, snapshot->evacuations.size());
+    CHECK(snapshot->complete && snapshot->lists_evacuations);
+}
+
+TEST(store_reader, required_snapshot_follows_the_pending_watch)
+{
+    begin_read(0);
+    finish_snapshot(5);
+    begin_read(5);
+    reader.require_snapshot("test");
+    begin_read(5);
+    LONGS_EQUAL(0, out.size());
+    reader.on_changes({6}, now, out);
+    begin_read(6);
+    LONGS_EQUAL(1, effects_of_type<read_snapshot>(out).size());
+}
+
 TEST(store_reader, snapshot_is_read_after_failed_watch)
 {
     begin_read(0);
--- a/testing/forwarding/fleet.hpp
+++ b/testing/forwarding/fleet.hpp
@@ -40,6 +40,9 @@
     /// The store is away for up to 2 s and comes back from a copy that is up to
     /// 10 s old. Servers write their entries again within 1.2 s after that.
     double store_rollback = 0.0;
+    /// The operator evacuates one of three data centres, or withdraws that. All
+    /// servers are in one data centre if it is 0.
+    double evacuation = 0.0;
 };
 
 /// Result of a run.
@@ -49,6 +52,7 @@
     std::size_t flows = 0; ///< Flows that callers began.
     std::size_t opened_flows = 0;   ///< Flows with a completed handshake.
     std::size_t route_versions = 0; ///< Changes of the route table.
+    std::size_t evacuations = 0;    ///< Requests to evacuate a data centre.
 };
 
 /// Simulation of one run. The same arguments give the same run.
@@ -73,9 +77,11 @@
     /// Hides all changes from the forwarders, so that they learn new records
     /// only from snapshots.
     bool hide_changes = false;
+    /// Removes all evacuations from what the store responds.
+    bool hide_evacuations = false;
 
-    /// Whether the operator writes the latest routes again after a rollback of
-    /// the store, rather than with the next change only.
+    /// Whether the operator writes the latest routes and evacuations again
+    /// after a rollback of the store, rather than with the next change only.
     bool rewrite_routes = true;
 
 private:
@@ -87,6 +93,13 @@
         steady_time silent_until{};
     };
 
+    /// What the operator wants of a data centre.
+    struct model_data_centre
+    {
+        bool is_evacuated = false;
+        steady_time changed_at{};
+    };
+
     struct model_flow
     {
         flow_key key;
@@ -184,6 +197,12 @@
     void
     write_server(std::uint32_t number, server_state state, bool is_deleted);
     void write_next_routes();
+    /// Evacuates a random data centre, or withdraws that.
+    void change_evacuation();
+    /// Makes the store's evacuations match what the operator wants.
+    void write_evacuations();
+    /// Time of the last change of the routes or of an evacuation.
+    [[nodiscard]] steady_time last_operator_change() const;
     void roll_back_store();
     void write_again(std::string const& name);
     void write_due_entries();
@@ -258,6 +277,7 @@
     /// Keeps deliveries and timers of the same time in their order of creation.
     std::uint64_t next_sequence_ = 0;
     model_store store_;
+    std::map<std::string, model_data_centre> data_centres_{};
     /// Routes that the operator wrote last.
     std::shared_ptr<route_table const> routes_;
     steady_time routes_changed_at_{};
--- a/testing/forwarding/fleet_callers.cpp
+++ b/testing/forwarding/fleet_callers.cpp
@@ -21,6 +21,9 @@
 constexpr duration recovery_period = 4s;
 // Time within which undisturbed forwarders must learn of a change of the store.
 constexpr duration max_propagation_delay = 3s;
+// Time after the write of an evacuation from which no first packet may reach a
+// server of the data centre.
+constexpr duration evacuation_bound = 5s;
 
 } // namespace
 
@@ -129,6 +132,18 @@
         report_violation("a flow was opened at " + server.record.name +
                          ", which was draining or deleted");
     }
+    for (auto const& [name, data_centre] : data_centres_)
+    {
+        auto const is_overdue =
+            data_centre.is_evacuated &&
+            now_.steady - data_centre.changed_at > evacuation_bound;
+        if (is_overdue && is_store_stable && is_forwarder_undisturbed &&
+            server.record.data_centre == data_centre_id{id_from_name(name)})
+        {
+            report_violation("a flow was opened at " + server.record.name +
+                             " of " + name + ", which was evacuated");
+        }
+    }
 }
 
 void forwarder_fleet_simulation::check_open_flow(std::size_t sender,
--- a/testing/forwarding/fleet_store.cpp
+++ b/testing/forwarding/fleet_store.cpp
@@ -30,7 +30,12 @@
                                               bool is_deleted)
 {
     auto& server = servers_[number];
-    server.record = make_server_record(number, 0, state);
+    // By default all servers are in the first one, that of the forwarders.
+    constexpr std::string_view data_centres = "abc";
+    auto const data_centre =
+        faults_.evacuation > 0 ? number % data_centres.size() : 0;
+    server.record = make_server_record(
+        number, 0, state, data_centres.substr(data_centre, 1));
     server.is_registered = !is_deleted;
     server.changed_at = now_.steady;
     write_again(server.record.name);
@@ -91,13 +96,48 @@
         write_next_routes();
         ++result_.route_versions;
     }
+    if (faults_.evacuation > 0 && occurs_with(faults_.evacuation))
+    {
+        change_evacuation();
+    }
+}
+
+void forwarder_fleet_simulation::change_evacuation()
+{
+    constexpr std::string_view data_centres = "abc";
+    std::string const name{
+        data_centres.substr(random_() % data_centres.size(), 1)};
+    auto& changed = data_centres_[name];
+    changed.is_evacuated = !changed.is_evacuated;
+    changed.changed_at = now_.steady;
+    result_.evacuations += changed.is_evacuated ? 1U : 0U;
+    write_evacuations();
+}
+
+void forwarder_fleet_simulation::write_evacuations()
+{
+    for (auto const& [name, data_centre] : data_centres_)
+    {
+        if (data_centre.is_evacuated == store_.has_evacuation(name))
+        {
+            continue;
+        }
+        if (data_centre.is_evacuated)
+        {
+            store_.write_evacuation(name);
+        }
+        else
+        {
+            store_.remove_evacuation(name);
+        }
+    }
 }
 
 void forwarder_fleet_simulation::roll_back_store()
 {
-    if (!rewrite_routes && now_.steady - routes_changed_at_ < 1s)
+    if (!rewrite_routes && now_.steady - last_operator_change() < 1s)
     {
-        // A version that no forwarder has read yet would be lost.
+        // A change that no forwarder has read yet would be lost.
         return;
     }
     auto const random_up_to = [this](std::chrono::milliseconds max)
@@ -131,6 +171,16 @@
     }
 }
 
+steady_time forwarder_fleet_simulation::last_operator_change() const
+{
+    auto last = routes_changed_at_;
+    for (auto const& [name, data_centre] : data_centres_)
+    {
+        last = std::max(last, data_centre.changed_at);
+    }
+    return last;
+}
+
 /// Writes what was due to be written again after a rollback of the store.
 /// An entry that matches its server stays as it is.
 void forwarder_fleet_simulation::write_due_entries()
@@ -146,6 +196,7 @@
         {
             store_.write_routes(*routes_);
         }
+        write_evacuations();
     }
     for (auto const& entry : std::exchange(entries_due_, {}))
     {
@@ -198,6 +249,10 @@
     }
     snapshot_page_read page;
     page.update = store_.snapshot();
+    if (hide_evacuations)
+    {
+        page.update.evacuations.clear();
+    }
     schedule_delivery(index, store_delay, std::move(page));
 }
 
@@ -220,6 +275,10 @@
     {
         return store_read_failed{store_failure::history_gone};
     }
+    if (hide_evacuations)
+    {
+        update->evacuations.clear();
+    }
     return changes_read{.update = std::move(*update)};
 }
 
--- a/testing/forwarding/fleet_test.cpp
+++ b/testing/forwarding/fleet_test.cpp
@@ -15,12 +15,14 @@
 /// Returns how many of 20 runs with the defect that `inject_defect` switches on
 /// violate a rule.
 template <class InjectDefect>
-int count_runs_with_violations(InjectDefect const& inject_defect)
+int count_runs_with_violations(InjectDefect const& inject_defect,
+                               fault_probabilities const& faults = {})
 {
     int runs_with_violations = 0;
     for (std::uint64_t seed = 1; seed <= 20; ++seed)
     {
-        forwarder_fleet_simulation simulation{seed, fleet_size_for(seed), {}};
+        forwarder_fleet_simulation simulation{
+            seed, fleet_size_for(seed), faults};
         inject_defect(simulation);
         runs_with_violations +=
             simulation.run(run_length).violation.empty() ? 0 : 1;
@@ -71,6 +73,22 @@
         "shared tokens", {.restart_one = 0.02}, 0.8, true, short_token_bits);
 }
 
+/// Often all data centres are evacuated, so that flows are refused.
+TEST(forwarder_fleet, evacuations_violate_no_rule)
+{
+    expect_no_violations("evacuations", {.evacuation = 0.01}, 0.9);
+}
+
+TEST(forwarder_fleet, hidden_evacuations_are_detected)
+{
+    CHECK(count_runs_with_violations(
+              [](forwarder_fleet_simulation& simulation)
+              {
+                  simulation.hide_evacuations = true;
+              },
+              {.evacuation = 0.01}) >= 15);
+}
+
 TEST(forwarder_fleet, packets_to_a_wrong_server_are_detected)
 {
     CHECK(count_runs_with_violations(
--- a/testing/forwarding/model_store.cpp
+++ b/testing/forwarding/model_store.cpp
@@ -21,10 +21,10 @@
     return contents_.revision;
 }
 
-void model_store::add_to_history(server_record const& record)
+void model_store::add_to_history(changed_record const& record)
 {
     auto& history = contents_.history;
-    history.emplace_back(record.revision.value, record);
+    history.emplace_back(contents_.revision.value, record);
     if (history.size() > max_history_size)
     {
         contents_.history_start =
@@ -61,6 +61,27 @@
     contents_.routes = std::make_shared<route_table const>(std::move(table));
 }
 
+void model_store::write_evacuation(std::string const& data_centre)
+{
+    evacuation_record const record{.name = data_centre,
+                                   .data_centre = {id_from_name(data_centre)},
+                                   .active = true,
+                                   .revision = next_revision()};
+    contents_.evacuations[data_centre] = record;
+    add_to_history(record);
+}
+
+void model_store::remove_evacuation(std::string const& data_centre)
+{
+    if (contents_.evacuations.erase(data_centre) == 0)
+    {
+        return;
+    }
+    add_to_history(evacuation_record{.name = data_centre,
+                                     .data_centre = {id_from_name(data_centre)},
+                                     .revision = next_revision()});
+}
+
 void model_store::erase_history()
 {
     contents_.history_start = contents_.revision.value;
@@ -108,7 +129,8 @@
 /// entries that were written before.
 directory_update model_store::snapshot() const
 {
-    directory_update update{.through = contents_.revision};
+    directory_update update{.through = contents_.revision,
+                            .lists_evacuations = true};
     if (contents_.routes)
     {
         auto table = std::make_shared<route_table>(*contents_.routes);
@@ -120,6 +142,11 @@
         update.servers.push_back(record);
         update.servers.back().revision.era = contents_.revision.era;
     }
+    for (auto const& [name, record] : contents_.evacuations)
+    {
+        update.evacuations.push_back(record);
+        update.evacuations.back().revision.era = contents_.revision.era;
+    }
     return update;
 }
 
@@ -131,17 +158,30 @@
     {
         return std::nullopt;
     }
-    directory_update update{.through = contents_.revision};
+    directory_update update{.through = contents_.revision,
+                            .lists_evacuations = true};
     if (contents_.routes && contents_.routes->revision.value > after.value)
     {
         update.routes = snapshot().routes;
     }
+    auto const add = [&](auto& records, auto const& record)
+    {
+        records.push_back(record);
+        records.back().revision.era = contents_.revision.era;
+    };
     for (auto const& [revision, record] : contents_.history)
     {
-        if (revision > after.value)
+        if (revision <= after.value)
+        {
+            continue;
+        }
+        if (auto const* const server = std::get_if<server_record>(&record))
+        {
+            add(update.servers, *server);
+        }
+        else
         {
-            update.servers.push_back(record);
-            update.servers.back().revision.era = contents_.revision.era;
+            add(update.evacuations, std::get<evacuation_record>(record));
         }
     }
     return update;
--- a/testing/forwarding/model_store.hpp
+++ b/testing/forwarding/model_store.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace dotterelrouter::testing
@@ -31,6 +32,9 @@
     void remove_server(std::string const& name);
     /// Writes the routes. The revision of `table` is ignored.
     void write_routes(route_table table);
+    /// Writes or removes the request to evacuate a data centre.
+    void write_evacuation(std::string const& data_centre);
+    void remove_evacuation(std::string const& data_centre);
     /// Erases the history: watches after an earlier revision fail.
     void erase_history();
 
@@ -48,6 +52,12 @@
     /// Returns the entry of a server, or null.
     [[nodiscard]] server_record const* find(std::string const& name) const;
 
+    /// Whether there is a request to evacuate a data centre.
+    [[nodiscard]] bool has_evacuation(std::string const& data_centre) const
+    {
+        return contents_.evacuations.contains(data_centre);
+    }
+
     /// Returns the routes, or null before the first write.
     [[nodiscard]] std::shared_ptr<route_table const> const& routes() const
     {
@@ -66,18 +76,22 @@
     changes_after(store_revision after) const;
 
 private:
+    using changed_record = std::variant<server_record, evacuation_record>;
+
     struct contents
     {
         store_revision revision{1, 1};
         std::uint64_t history_start = 1;
         std::shared_ptr<route_table const> routes{};
         std::map<std::string, server_record> servers{};
-        /// Changes of servers with their revisions; the oldest first.
-        std::vector<std::pair<std::uint64_t, server_record>> history{};
+        std::map<std::string, evacuation_record> evacuations{};
+        /// Changes of servers and evacuations with their revisions; the oldest
+        /// first.
+        std::vector<std::pair<std::uint64_t, changed_record>> history{};
     };
 
     store_revision next_revision();
-    void add_to_history(server_record const& record);
+    void add_to_history(changed_record const& record);
 
     contents contents_{};
     std::map<steady_time, contents> copies_{};
