Hand on evacuations of an earlier era to a process that started since

The store came back twice within two seconds. A forwarder that restarted read the latest era, which had lost a request, and asked a peer of the era before, which did not send it: its revision was lower, and the peer did not know yet that the store had lost it. The responder now also counts the era that the request names.

--- a/dotterelrouter/evacuation/evacuation.cpp
+++ b/dotterelrouter/evacuation/evacuation.cpp
@@ -182,19 +182,22 @@
 std::vector<evacuation_record>
 evacuation_list::changes_after(store_revision after, instant now) const
 {
+    auto const newest_era = std::max(through_.era, after.era);
     std::vector<evacuation_record> changes;
     for (auto const& candidate : entries_)
     {
-        auto const is_lost = candidate.record.revision.era < through_.era;
-        if (candidate.record.revision <= after && !is_lost)
+        auto const may_be_lost = candidate.record.revision.era < newest_era;
+        if (candidate.record.revision <= after && !may_be_lost)
         {
             continue;
         }
         auto& record = changes.emplace_back(candidate.record);
-        if (is_lost && candidate.expires_at)
+        if (may_be_lost)
         {
-            record.expires_in = std::max(
-                duration::zero(), duration{*candidate.expires_at - now.steady});
+            auto const expires_at = candidate.expires_at.value_or(
+                now.steady + evacuation_retention_period);
+            record.expires_in =
+                std::max(duration::zero(), duration{expires_at - now.steady});
         }
     }
     return changes;
--- a/dotterelrouter/evacuation/evacuation.hpp
+++ b/dotterelrouter/evacuation/evacuation.hpp
@@ -79,8 +79,9 @@
         return erased_through_;
     }
 
-    /// Returns the records after a revision, and those that the store may have
-    /// lost: a directory that is current may lack them.
+    /// Returns the records after a revision, and those of earlier eras than
+    /// that revision or this list. The store may have lost them, so that a
+    /// directory that is current may lack them.
     [[nodiscard]] std::vector<evacuation_record>
     changes_after(store_revision after, instant now) const;
 
--- a/dotterelrouter/evacuation/evacuation_test.cpp
+++ b/dotterelrouter/evacuation/evacuation_test.cpp
@@ -238,6 +238,19 @@
     CHECK(restarted.next_timer_at() == list.next_timer_at());
 }
 
+/// The store came back twice. A process that has started since has read the
+/// latest era, and its peers have not (fleet with rollbacks, seed 134).
+TEST(evacuation_list, peer_of_an_earlier_era_passes_on_its_requests)
+{
+    merge(contents({40, 2}, {make_evacuation("a", {13, 2}, true)}));
+    evacuation_list restarted;
+    restarted.on_update(contents({15, 3}, {}), now, out);
+    pass_on(restarted, {40, 2}, {15, 3});
+    CHECK(restarted.is_evacuated(data_centre_of("a")));
+    CHECK(restarted.next_timer_at() ==
+          now.steady + evacuation_retention_period);
+}
+
 /// A forwarder that was cut off still has the directory of the earlier era.
 TEST(evacuation_list, outdated_peer_brings_back_no_request)
 {
