Limit the new flows of cold servers

A cold server can bear fewer new flows a second than there are forwarders, and each forwarder placed flows there by its own load only. Each forwarder now decides by itself, from the forwarders that it heard from, whether it may send one more first packet to a cold server (library slow_start). Placement leaves out servers whose limit is reached, and refuses a flow with 'no warm server' if no other server is left. Copies of first packets of open flows count and are dropped beyond the limit. What operators declare of services goes to other forwarders with the routes, and the remaining warm-up time is rounded up and handed on for removed servers as well.

Without limits or a declared rate, no decision changes.

--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -29,6 +29,9 @@
 /// Maximum uptime in a heartbeat, which takes one byte.
 constexpr std::uint32_t max_uptime_s = 127;
 
+/// Maximum rate of new flows that a service can declare, per second.
+constexpr double max_rate = 1e6;
+
 constexpr std::string_view after_parameter = "after=";
 constexpr std::string_view era_parameter = "era=";
 constexpr std::string_view routes_parameter = "routes=";
@@ -88,6 +91,12 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(count, 0));
 }
 
+/// Same, rounded up.
+std::uint64_t to_milliseconds_up(duration value)
+{
+    return to_milliseconds(value + milliseconds{1} - duration{1});
+}
+
 /// Reads a duration in milliseconds. Returns false if it exceeds
 /// max_duration_ms; `out` is then max_duration_ms.
 bool from_milliseconds(std::uint64_t count, duration& out)
@@ -174,6 +183,33 @@
            from_milliseconds(in.target_ms(), out.target_latency);
 }
 
+void to_wire(service_settings const& value,
+             name_table& services,
+             wire::ServiceSettings& out)
+{
+    out.set_service(services.index_of(value.name));
+    out.set_cold_start_ms(to_milliseconds(value.cold_start));
+    if (value.cold_rate)
+    {
+        out.set_cold_rate(*value.cold_rate);
+    }
+}
+
+bool from_wire(wire::ServiceSettings const& in,
+               wire_names const& services,
+               service_settings& out)
+{
+    if (in.has_cold_rate())
+    {
+        out.cold_rate = in.cold_rate();
+    }
+    // Written so that it is false for a rate that is not a number.
+    auto const is_rate_valid =
+        !out.cold_rate || (*out.cold_rate >= 0 && *out.cold_rate <= max_rate);
+    return is_rate_valid && read_name(services, in.service(), out.name) &&
+           from_milliseconds(in.cold_start_ms(), out.cold_start);
+}
+
 void to_wire(route_table const& value,
              name_table& services,
              wire::RouteTable& out)
@@ -186,6 +222,10 @@
     {
         to_wire(entry, services, *out.add_routes());
     }
+    for (auto const& entry : value.services)
+    {
+        to_wire(entry, services, *out.add_services());
+    }
 }
 
 bool from_wire(wire::RouteTable const& in,
@@ -201,6 +241,13 @@
             return false;
         }
     }
+    for (auto const& entry : in.services())
+    {
+        if (!from_wire(entry, services, out.services.emplace_back()))
+        {
+            return false;
+        }
+    }
     return from_milliseconds(in.idle_timeout_ms(), out.idle_timeout);
 }
 
@@ -216,7 +263,8 @@
     out.set_data_centre(value.data_centre.value);
     out.set_slots(value.slots);
     out.set_state(static_cast<std::uint32_t>(value.state));
-    out.set_cold_ms(to_milliseconds(value.cold_remaining));
+    // Rounded up: the receiver must not take the server for warm too early.
+    out.set_cold_ms(to_milliseconds_up(value.cold_remaining));
     out.set_started_ms(value.started_ms);
     out.set_revision(value.revision.value);
     out.set_era(value.revision.era);
--- a/dotterelrouter/codec/replication_codec_test.cpp
+++ b/dotterelrouter/codec/replication_codec_test.cpp
@@ -3,6 +3,7 @@
 #include "testing/forwarding/records.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <random>
 #include <vector>
 
@@ -123,6 +124,10 @@
     update.complete = true;
     auto routes = *make_route_table(4, 20);
     routes.revision.era = 2;
+    routes.services = {
+        {.name = "catalogue", .cold_start = 2s, .cold_rate = 4.5},
+        {.name = "gallery", .cold_rate = 0},
+        {.name = "search", .cold_start = 1600ms}};
     update.routes = std::make_shared<route_table>(routes);
     update.servers = {make_server_record(1, 25),
                       make_server_record(2, 26, server_state::gone)};
@@ -147,6 +152,51 @@
                ->update.removed_servers);
 }
 
+/// A directory with such a rate would compute a budget that is no number.
+TEST(replication_codec, service_settings_out_of_range_are_rejected)
+{
+    auto const is_decoded = [](service_settings const& declared)
+    {
+        auto routes = *make_route_table(4, 20);
+        routes.services = {declared};
+        directory_update update;
+        update.routes = std::make_shared<route_table>(routes);
+        return decode_directory_update(
+                   as_byte_view(encode_directory_update(update, 5ms)))
+            .has_value();
+    };
+    CHECK(is_decoded({.name = "a", .cold_start = 24h, .cold_rate = 1e6}));
+    CHECK(!is_decoded({.name = "a", .cold_start = 25h}));
+    for (auto const rate : {-1.0,
+                            1.1e6,
+                            std::numeric_limits<double>::infinity(),
+                            std::numeric_limits<double>::quiet_NaN()})
+    {
+        CHECK(!is_decoded({.name = "a", .cold_rate = rate}));
+    }
+}
+
+/// The message refers to a name that it does not contain.
+TEST(replication_codec, service_settings_without_a_name_are_rejected)
+{
+    // A table of routes whose only field is one of services with index 1.
+    std::string const bytes{"\x1a\x04\x32\x02\x08\x01"};
+    CHECK(!decode_directory_update(as_byte_view(bytes)));
+}
+
+/// A server that is cold for another 0.4 ms would count as warm at the
+/// receiver.
+TEST(replication_codec, remaining_warm_up_time_is_rounded_up)
+{
+    directory_update update;
+    update.servers = {make_server_record(1, 25), make_server_record(2, 26)};
+    update.servers[0].cold_remaining = 1500400us;
+    auto const decoded = decode_directory_update(
+        as_byte_view(encode_directory_update(update, 5ms)));
+    CHECK(decoded->update.servers[0].cold_remaining == 1501ms);
+    CHECK(decoded->update.servers[1].cold_remaining == 0ms);
+}
+
 TEST(replication_codec, changes_query_is_unchanged_after_round_trip)
 {
     changes_query const query{{{90, 2}, 11}, true};
@@ -177,7 +227,9 @@
     constexpr int iterations = 20000;
     std::mt19937_64 random_engine{seed};
     directory_update update;
-    update.routes = make_route_table(4, 20);
+    auto routes = *make_route_table(4, 20);
+    routes.services = {{"catalogue", 2s, 4.0}};
+    update.routes = std::make_shared<route_table>(routes);
     update.servers = {make_server_record(1, 25)};
     update.removed_servers = {{{make_server_record(2, 26), 1s}}};
     auto const valid_bytes = encode_directory_update(update, 5ms);
--- a/dotterelrouter/directory/directory.cpp
+++ b/dotterelrouter/directory/directory.cpp
@@ -69,6 +69,16 @@
     return restored == known.record;
 }
 
+/// Returns the record for another forwarder, with the warm-up time that remains
+/// now.
+server_record record_to_send(server_entry const& server, instant now)
+{
+    auto record = server.record;
+    record.cold_remaining =
+        std::max(duration::zero(), duration{server.cold_until - now.steady});
+    return record;
+}
+
 /// Whether no flow can be open at a server: it is gone for so long, or nothing
 /// but the removal of its entry is known.
 bool has_no_flows(server_entry const& server, instant now)
@@ -429,6 +439,18 @@
     return found == services_.end() ? nullptr : &found->second;
 }
 
+service_settings const*
+directory::find_service_settings(std::string_view name) const
+{
+    if (!routes_)
+    {
+        return nullptr;
+    }
+    auto const found =
+        std::ranges::find(routes_->services, name, &service_settings::name);
+    return found == routes_->services.end() ? nullptr : &*found;
+}
+
 server_entry const* directory::find_server(server_id id) const
 {
     auto const found = servers_.find(id);
@@ -481,7 +503,7 @@
         if (server.record.state == server_state::expired ||
             server.record.state == server_state::gone)
         {
-            removed.push_back({server.record,
+            removed.push_back({record_to_send(server, now),
                                duration{now.steady - server.changed_at},
                                server.has_drained});
         }
@@ -504,9 +526,7 @@
     {
         if (server.record.revision > after.revision || update.complete)
         {
-            auto& record = update.servers.emplace_back(server.record);
-            record.cold_remaining = std::max(
-                duration::zero(), duration{server.cold_until - now.steady});
+            update.servers.push_back(record_to_send(server, now));
         }
     }
     return update;
--- a/dotterelrouter/directory/directory.hpp
+++ b/dotterelrouter/directory/directory.hpp
@@ -133,6 +133,10 @@
     /// Returns a service with its servers that are not gone, including those
     /// that are draining, or null if it has none. Constant time.
     [[nodiscard]] service const* find_service(std::string_view name) const;
+    /// Returns what operators declare of a service, or null if nothing. Linear
+    /// in the number of services.
+    [[nodiscard]] service_settings const*
+    find_service_settings(std::string_view name) const;
     /// Returns a server, or null if it is unknown. Finds servers in state
     /// `gone` until their retention period is over. Constant time.
     [[nodiscard]] server_entry const* find_server(server_id id) const;
--- a/dotterelrouter/directory/directory_test.cpp
+++ b/dotterelrouter/directory/directory_test.cpp
@@ -338,6 +338,81 @@
     CHECK(merged.find_server(server_name(1))->cold_until == cold_until);
 }
 
+/// All servers of a data centre turn cold before an evacuation is withdrawn.
+TEST(directory, a_running_server_can_turn_cold_again)
+{
+    auto server = make_server_record(1, 10);
+    merge(update(20, {server}));
+    advance(10s);
+    server.revision = {21};
+    server.cold_remaining = 3s;
+    merge(update(21, {server}));
+    CHECK(merged.find_server(server_name(1))->cold_until == now.steady + 3s);
+}
+
+/// Records of a revision that is known already arrive late, from peers and from
+/// reads of everything.
+TEST(directory, late_copies_of_an_entry_do_not_change_its_warm_up)
+{
+    auto server = make_server_record(1, 10);
+    server.cold_remaining = 3s;
+    merge(update(20, {server}));
+    auto const cold_until = merged.find_server(server_name(1))->cold_until;
+    advance(1s);
+    merge(update(21, {server}));
+    server.cold_remaining = 0s;
+    merge(update(22, {server}));
+    server.revision = {9};
+    merge(update(23, {server}));
+    CHECK(merged.find_server(server_name(1))->cold_until == cold_until);
+}
+
+/// An entry that lapsed says nothing about the warm-up.
+TEST(directory, a_removed_entry_leaves_the_warm_up)
+{
+    auto server = make_server_record(1, 10);
+    server.cold_remaining = 3s;
+    merge(update(20, {server}));
+    auto const cold_until = merged.find_server(server_name(1))->cold_until;
+    server.revision = {21};
+    server.state = server_state::gone;
+    server.cold_remaining = 0s;
+    merge(update(21, {server}));
+    CHECK(state_of(1) == server_state::expired);
+    CHECK(merged.find_server(server_name(1))->cold_until == cold_until);
+}
+
+/// The receiver would take the server for cold for longer than it is.
+TEST(directory, records_for_peers_have_the_remaining_warm_up_time)
+{
+    auto server = make_server_record(1, 10);
+    server.cold_remaining = 3s;
+    merge(update(20, {server}));
+    advance(1s);
+    auto const sent = merged.changes_after({}, now).servers;
+    LONGS_EQUAL(1, sent.size());
+    CHECK(sent.front().cold_remaining == 2s);
+    server.revision = {21};
+    server.state = server_state::gone;
+    merge(update(21, {server}));
+    advance(500ms);
+    auto const removed = merged.removed_servers(now);
+    LONGS_EQUAL(1, removed.size());
+    CHECK(removed.front().record.cold_remaining == 1500ms);
+}
+
+TEST(directory, settings_of_services_are_found_by_name)
+{
+    CHECK(merged.find_service_settings("catalogue") == nullptr);
+    auto routes = *make_route_table(4, 20);
+    routes.services = {{"gallery", 1s, {}}, {"catalogue", 2s, 4.0}};
+    auto with_routes = update(20, {});
+    with_routes.routes = std::make_shared<route_table>(routes);
+    merge(with_routes);
+    CHECK(merged.find_service_settings("catalogue")->cold_rate == 4.0);
+    CHECK(merged.find_service_settings("other") == nullptr);
+}
+
 TEST(directory, late_contents_of_the_previous_era_are_ignored)
 {
     merge(restored(1, 22, {make_server_record(1, 20)}, 8));
--- a/dotterelrouter/forwarder/flows.cpp
+++ b/dotterelrouter/forwarder/flows.cpp
@@ -36,12 +36,17 @@
     auto const chosen_server = target_service == nullptr
                                    ? std::nullopt
                                    : choose_server(*target_service, flow, now);
+    if (target_service != nullptr)
+    {
+        report_if_kept_from_cold(*target_service, flow, now, out);
+    }
     auto const* const server =
         chosen_server ? directory_.find_server(*chosen_server) : nullptr;
     if (server == nullptr)
     {
         return;
     }
+    count_first_packet(*server, now);
     flow.load_at_choice = flows_.load_of(server->id);
     flow.routes_version = directory_.routes_version();
     flows_.assign(flow, server->id);
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -60,6 +60,13 @@
                  .flow_lifetime = settings.flow_lifetime}),
       is_first_start_(settings.is_first_start)
 {
+    if (settings.cold_limits)
+    {
+        cold_budget_.emplace(
+            cold_start_budget_settings{.self = settings.heartbeat_endpoint,
+                                       .data_centre = data_centre_,
+                                       .limits = *settings.cold_limits});
+    }
 }
 
 void forwarder::reduce(forwarder_event const& next_event,
@@ -73,6 +80,10 @@
         last_event_at_ = now.steady;
         // The socket is older than the first event by an unknown time.
         queue_ends_at_ = now.steady + internal::resume_grace_period;
+        if (cold_budget_)
+        {
+            cold_budget_->on_started(now);
+        }
         out.push_back(log_decision{
             .type = decision::started,
             .reason = is_first_start_ ? "first start of the whole fleet"
@@ -86,6 +97,7 @@
         },
         next_event);
     update_keepers(now);
+    update_cold_budget(now);
     arm_timer(now, out);
 }
 
@@ -102,6 +114,10 @@
     {
         resumed_at_ = now.steady;
         last_pause_ = pause;
+        if (cold_budget_)
+        {
+            cold_budget_->on_resumed(now);
+        }
         out.push_back(log_decision{.type = decision::resumed,
                                    .reason = "process did not run",
                                    .age = pause});
@@ -266,6 +282,10 @@
         return;
     }
     shutdown_started_at_ = now.steady;
+    if (cold_budget_)
+    {
+        cold_budget_->on_shutdown();
+    }
     out.push_back(log_decision{.type = decision::stopping});
     update_readiness(out);
     peers_.send_heartbeats_now(make_heartbeat(now), now, out);
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -24,6 +24,7 @@
 #include "dotterelrouter/reachability/reachability.hpp"
 #include "dotterelrouter/replication/replication.hpp"
 #include "dotterelrouter/routing/routing.hpp"
+#include "dotterelrouter/slow_start/slow_start.hpp"
 
 #include <optional>
 #include <span>
@@ -253,10 +254,18 @@
     /// doubt on this forwarder's view, and are ignored when a server is chosen.
     [[nodiscard]] bool is_majority_suspected(service const& target_service,
                                              instant now) const;
+    /// Whether the choice of a server heeds the limits of cold servers.
+    enum class cold_limit_use : std::uint8_t
+    {
+        applied,
+        ignored,
+    };
+
     [[nodiscard]] std::optional<server_id>
     choose_server(service const& target_service,
                   internal::placed_flow const& flow,
-                  instant now) const;
+                  instant now,
+                  cold_limit_use limits = cold_limit_use::applied) const;
     /// Marks a flow as open at a server, and reports the handshake.
     void mark_opened(internal::placed_flow& flow,
                      server_id server,
@@ -286,6 +295,35 @@
                     byte_view bytes,
                     route_token token,
                     forwarder_effects& out);
+
+    // Cold servers. Without limits, all of this has no effect.
+    /// Returns a server as its budget sees it; empty if it has no limit now.
+    [[nodiscard]] std::optional<cold_server>
+    limited_server(server_entry const& server, instant now) const;
+    /// Whether the limit of a server allows for one more first packet.
+    [[nodiscard]] bool may_send_first_packet(server_entry const& server,
+                                             instant now) const;
+    /// Counts a first packet that is sent to a server.
+    void count_first_packet(server_entry const& server, instant now);
+    /// Whether a first packet goes nowhere because its flow is open at a server
+    /// whose limit is reached. Counts the packet otherwise.
+    bool drop_or_count_copy(server_entry const& server, instant now);
+    /// Whether a flow would go to a server whose limit is reached.
+    [[nodiscard]] bool is_kept_from_cold(service const& target_service,
+                                         internal::placed_flow const& flow,
+                                         instant now) const;
+    /// Reports a flow that does not go to a cold server because of its limit.
+    void report_if_kept_from_cold(service const& target_service,
+                                  internal::placed_flow const& flow,
+                                  instant now,
+                                  forwarder_effects& out);
+    /// Returns why no server can be chosen for the first attempt of a flow.
+    [[nodiscard]] std::string_view
+    missing_server_reason(route const& flow_route,
+                          internal::placed_flow const& flow,
+                          instant now) const;
+    void update_cold_budget(instant now);
+
     void process_due_flows(instant now, forwarder_effects& out);
     void on_flow_due(internal::placed_flow& flow,
                      instant now,
@@ -339,6 +377,12 @@
     store_reader reader_;
     reachability reachability_;
     load_shedder load_shedder_;
+    std::optional<cold_start_budget> cold_budget_{}; ///< Empty: no limits.
+    /// When a reached limit was last logged, by service.
+    string_map<steady_time> cold_limit_logged_at_{};
+    /// Version of the peers that were passed to `cold_budget_`.
+    std::uint64_t cold_budget_version_ = 0;
+    steady_time cold_budget_due_{}; ///< When they are passed to it again.
     internal::flow_table flows_;
     binding_table bindings_;
     /// Version of the peers that were passed to `bindings_`.
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -80,13 +80,16 @@
     {
         return false;
     }
-    if (auto const* const server = directory_.find_server(*bound_server))
+    auto const* const server = directory_.find_server(*bound_server);
+    if (server == nullptr)
     {
-        forward_later_packet(*server, packet, out);
+        drop_unrouted_packet(packet, now, out);
+        return true;
     }
-    else
+    auto const is_first = packet.type == packet_type::open;
+    if (!is_first || !drop_or_count_copy(*server, now))
     {
-        drop_unrouted_packet(packet, now, out);
+        forward_later_packet(*server, packet, out);
     }
     return true;
 }
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -146,7 +146,8 @@
     flow->arrived_after = earliest_arrival(now);
     if (flow->opened)
     {
-        if (auto const* const server = directory_.find_server(flow->server))
+        auto const* const server = directory_.find_server(flow->server);
+        if (server != nullptr && !drop_or_count_copy(*server, now))
         {
             forward_to(*server, packet.bytes, later_token_of(*server), out);
         }
@@ -165,8 +166,9 @@
     attempt_server(*flow, *flow_route, now, out);
     if (flow->attempts == 0 && attempts_before == 0)
     {
+        auto const reason = missing_server_reason(*flow_route, *flow, now);
         flows_.remove(packet.flow);
-        refuse_packet(packet, "no server", now, out);
+        refuse_packet(packet, reason, now, out);
     }
 }
 
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -122,17 +122,21 @@
 
 std::optional<server_id> forwarder::choose_server(service const& target_service,
                                                   placed_flow const& flow,
-                                                  instant now) const
+                                                  instant now,
+                                                  cold_limit_use limits) const
 {
     auto const is_suspicion_ignored =
         is_majority_suspected(target_service, now);
-    auto const has_token = [&](server_id server)
+    auto const can_take_flow = [&](server_id server)
     {
-        return directory_.find_server(server)->token != route_token{};
+        auto const& candidate = *directory_.find_server(server);
+        return candidate.token != route_token{} &&
+               (limits == cold_limit_use::ignored ||
+                may_send_first_packet(candidate, now));
     };
     auto const is_unattempted = [&](server_id server)
     {
-        return has_token(server) && !flow.has_attempted(server);
+        return can_take_flow(server) && !flow.has_attempted(server);
     };
     auto const is_reachable = [&](server_id server)
     {
@@ -166,7 +170,7 @@
             return is_unattempted(server) && is_reachable(server);
         });
     choice = choice ? choice : choose_among(is_unattempted);
-    choice = choice ? choice : choose_among(has_token);
+    choice = choice ? choice : choose_among(can_take_flow);
     return choice ? std::optional{choice->server} : std::nullopt;
 }
 
--- a/dotterelrouter/forwarding/internal/messages.hpp
+++ b/dotterelrouter/forwarding/internal/messages.hpp
@@ -42,6 +42,35 @@
     friend bool operator==(live_forwarder, live_forwarder) = default;
 };
 
+/// Another forwarder of the own data centre, whether or not it is still live.
+struct local_forwarder
+{
+    endpoint heartbeat_endpoint{};
+    bool live = false; ///< A heartbeat was received recently enough.
+    /// When it announced its shutdown; empty if it did not.
+    std::optional<steady_time> draining_since{};
+
+    friend bool operator==(local_forwarder const&,
+                           local_forwarder const&) = default;
+};
+
+/// What a forwarder knows of the others in its data centre.
+struct local_fleet
+{
+    /// Those from which a heartbeat was received in the last minute.
+    std::vector<local_forwarder> forwarders{};
+    /// There may be more forwarders in the data centre: some that have been
+    /// silent for longer, or addresses from which nothing was received.
+    bool may_have_others = false;
+    /// No other forwarder is known, in any data centre.
+    bool is_alone = false;
+    bool is_only_seed = false; ///< This forwarder is the fleet's only seed.
+    /// Time in which a forwarder sends heartbeats to all others.
+    duration heartbeat_rotation{};
+
+    friend bool operator==(local_fleet const&, local_fleet const&) = default;
+};
+
 /// The server at which a flow is open. Forwarders share the bindings of those
 /// flows whose caller may hold a token that names another server.
 struct flow_binding
--- a/dotterelrouter/replication/internal/peers.hpp
+++ b/dotterelrouter/replication/internal/peers.hpp
@@ -39,6 +39,7 @@
     bool live = false; ///< A heartbeat was received recently enough.
     bool store_reachable = false;
     bool draining = false;
+    steady_time draining_since{}; ///< Valid if `draining` is set.
     /// Version of the peer's directory. Zero after it left a request for
     /// changes unanswered, until its next heartbeat.
     directory_version version{};
@@ -123,6 +124,10 @@
     /// Returns the live peers that are not shutting down, by address.
     [[nodiscard]] std::vector<live_forwarder> live_forwarders() const;
 
+    /// Returns what is known of the other forwarders in this data centre.
+    /// Linear in the number of peers.
+    [[nodiscard]] local_fleet known_local_fleet(instant now) const;
+
     /// Changes whenever live_forwarders() may have changed.
     [[nodiscard]] std::uint64_t live_forwarders_version() const
     {
@@ -149,6 +154,8 @@
     [[nodiscard]] std::size_t live_count() const;
     /// Maximum number of peers in one round of heartbeats, apart from seeds.
     [[nodiscard]] std::size_t fanout() const;
+    /// Number of rounds in which heartbeats are sent to all peers.
+    [[nodiscard]] std::size_t rounds_per_rotation() const;
     /// Time without a heartbeat after which a peer is not live.
     [[nodiscard]] duration liveness_timeout() const;
     /// True if a peer is able to read the store and has a lower rank than this
--- a/dotterelrouter/replication/peers.cpp
+++ b/dotterelrouter/replication/peers.cpp
@@ -26,6 +26,9 @@
 /// traffic would use too many bytes otherwise.
 constexpr std::size_t small_fleet_fanout = 16;
 constexpr std::size_t large_fleet_fanout = 8;
+/// Time for which a silent forwarder of the own data centre is reported in
+/// known_local_fleet(): longer than a partition that heals by itself.
+constexpr duration local_forwarder_period = std::chrono::seconds{60};
 /// Number of known peers from which a fleet is large.
 constexpr std::size_t min_large_fleet_peers = 128;
 /// Maximum number of peers whose addresses one heartbeat contains.
@@ -122,6 +125,10 @@
                                         sender.draining != message.draining
                                     ? 1U
                                     : 0U;
+    if (message.draining && !sender.draining)
+    {
+        sender.draining_since = now.steady;
+    }
     sender.last_heard_at = now.steady;
     sender.incarnation = message.incarnation;
     sender.data_centre = message.data_centre;
@@ -251,15 +258,17 @@
                                                  : large_fleet_fanout;
 }
 
-duration peers::liveness_timeout() const
+std::size_t peers::rounds_per_rotation() const
 {
     auto const round_size = fanout();
-    auto const rounds_per_rotation =
-        (peers_.size() + round_size - 1) / round_size;
-    return rounds_per_rotation <= 1
-               ? min_liveness_timeout
-               : max_missed_heartbeats * static_cast<int>(rounds_per_rotation) *
-                     heartbeat_interval;
+    return (peers_.size() + round_size - 1) / round_size;
+}
+
+duration peers::liveness_timeout() const
+{
+    auto const rounds = static_cast<int>(rounds_per_rotation());
+    return rounds <= 1 ? min_liveness_timeout
+                       : max_missed_heartbeats * rounds * heartbeat_interval;
 }
 
 bool peers::precedes_as_reader(endpoint address, peer const& state) const
@@ -397,6 +406,41 @@
     return forwarders;
 }
 
+local_fleet peers::known_local_fleet(instant now) const
+{
+    local_fleet fleet{
+        .is_alone = peers_.empty(),
+        .is_only_seed = !settings_.seeds.empty() &&
+                        std::ranges::count(settings_.seeds, settings_.self) ==
+                            static_cast<std::ptrdiff_t>(settings_.seeds.size()),
+        .heartbeat_rotation =
+            static_cast<int>(rounds_per_rotation()) * heartbeat_interval};
+    for (auto const& [address, state] : peers_)
+    {
+        if (!state.last_heard_at)
+        {
+            fleet.may_have_others = true;
+            continue;
+        }
+        if (state.data_centre != settings_.data_centre)
+        {
+            continue;
+        }
+        if (now.steady - *state.last_heard_at > local_forwarder_period)
+        {
+            fleet.may_have_others |= !state.draining;
+            continue;
+        }
+        fleet.forwarders.push_back(
+            {.heartbeat_endpoint = address,
+             .live = state.live,
+             .draining_since = state.draining
+                                   ? std::optional{state.draining_since}
+                                   : std::nullopt});
+    }
+    return fleet;
+}
+
 std::map<data_centre_id, bool> peers::data_centre_liveness(instant now) const
 {
     std::map<data_centre_id, bool> liveness;
--- a/dotterelrouter/replication/replication_test.cpp
+++ b/dotterelrouter/replication/replication_test.cpp
@@ -91,6 +91,78 @@
     CHECK(!known_peers.any_live_peer().has_value());
 }
 
+TEST(peers, local_fleet_is_that_of_the_own_data_centre)
+{
+    CHECK(known_peers.known_local_fleet(now).may_have_others); // The seed.
+    receive_heartbeat(2, {.data_centre = {1}});
+    receive_heartbeat(3, {.data_centre = {2}});
+    auto const fleet = known_peers.known_local_fleet(now);
+    local_fleet const expected{
+        .forwarders = {{.heartbeat_endpoint = vm(2), .live = true}},
+        .heartbeat_rotation = heartbeat_interval};
+    CHECK(fleet == expected);
+}
+
+/// A forwarder that is cut off must not take the others' share.
+TEST(peers, silent_forwarders_stay_in_the_local_fleet_for_a_minute)
+{
+    receive_heartbeat(2, {.data_centre = {1}});
+    now.steady += 60s;
+    known_peers.on_timer({}, now, out);
+    auto fleet = known_peers.known_local_fleet(now);
+    CHECK(fleet.forwarders ==
+          (std::vector<local_forwarder>{{.heartbeat_endpoint = vm(2)}}));
+    now.steady += 1ms;
+    fleet = known_peers.known_local_fleet(now);
+    CHECK(fleet.forwarders.empty());
+    CHECK(fleet.may_have_others);
+}
+
+TEST(peers, local_fleet_tells_since_when_forwarders_drain)
+{
+    receive_heartbeat(2, {.data_centre = {1}, .draining = true});
+    auto const announced_at = now.steady;
+    now.steady += 250ms;
+    receive_heartbeat(2, {.data_centre = {1}, .draining = true});
+    auto const draining_since = [&]
+    {
+        return known_peers.known_local_fleet(now)
+            .forwarders.front()
+            .draining_since;
+    };
+    CHECK(draining_since() == announced_at);
+    receive_heartbeat(2, {.incarnation = 2, .data_centre = {1}});
+    CHECK(!draining_since());
+    receive_heartbeat(2,
+                      {.incarnation = 2, .data_centre = {1}, .draining = true});
+    CHECK(draining_since() == now.steady);
+    now.steady += 61s;
+    CHECK(!known_peers.known_local_fleet(now).may_have_others);
+}
+
+TEST(peers, only_seed_is_alone_until_it_knows_another_forwarder)
+{
+    peers first{{.self = vm(1), .data_centre = {1}, .seeds = {vm(1)}}};
+    CHECK(first.known_local_fleet(now).is_alone);
+    CHECK(first.known_local_fleet(now).is_only_seed);
+    first.on_heartbeat(vm(2), {}, {}, now, out);
+    CHECK(!first.known_local_fleet(now).is_alone);
+    peers const without_seeds{{.self = vm(1), .data_centre = {1}, .seeds = {}}};
+    CHECK(!without_seeds.known_local_fleet(now).is_only_seed);
+    CHECK(!known_peers.known_local_fleet(now).is_only_seed);
+}
+
+/// With 200 others, heartbeats go to 8 of them at a time.
+TEST(peers, heartbeat_rotation_grows_with_the_fleet)
+{
+    for (std::uint32_t from = 2; from <= 201; ++from)
+    {
+        receive_heartbeat(from);
+    }
+    CHECK(known_peers.known_local_fleet(now).heartbeat_rotation ==
+          25 * heartbeat_interval);
+}
+
 TEST(peers, two_of_eight_forwarders_are_readers)
 {
     int readers = 0;
