--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -116,7 +116,7 @@
         last_pause_ = pause;
         if (cold_budget_)
         {
-            cold_budget_->on_resumed(now);
+            cold_budget_->on_resumed(pause, now);
         }
         out.push_back(log_decision{.type = decision::resumed,
                                    .reason = "process did not run",
--- a/dotterelrouter/forwarder/slow_start.cpp
+++ b/dotterelrouter/forwarder/slow_start.cpp
@@ -131,7 +131,7 @@
     {
         cold_budget_version_ = peers_.live_forwarders_version();
         cold_budget_due_ = now.steady + heartbeat_interval;
-        cold_budget_->set_fleet(peers_.known_local_fleet(now));
+        cold_budget_->set_fleet(peers_.known_local_fleet(now), now);
     }
 }
 
--- a/dotterelrouter/slow_start/slow_start.cpp
+++ b/dotterelrouter/slow_start/slow_start.cpp
@@ -18,11 +18,15 @@
 
 /// Minimum time after the start in which no budget is used: the time in which a
 /// forwarder hears from the others, and in which what an earlier process of the
-/// same address sent no longer counts.
-constexpr duration min_startup_period = std::chrono::seconds{3};
+/// same address sent no longer counts. It applies after an isolation as well,
+/// in which others may have been forgotten.
+constexpr duration min_view_period = std::chrono::seconds{3};
 /// The same, in rotations of heartbeats. The first rotation tells the others
 /// that this forwarder exists, the second one brings their heartbeats.
-constexpr int startup_rotations = 2;
+constexpr int view_rotations = 2;
+/// Pause from which the view of the fleet begins anew: less than the time after
+/// which silent forwarders are forgotten, by the time between heartbeats.
+constexpr duration min_long_pause = std::chrono::seconds{30};
 
 /// Time after a pause in which no budget is used, since the fleet may have
 /// changed meanwhile.
@@ -50,12 +54,16 @@
 
 void cold_start_budget::on_started(instant now)
 {
-    started_at_ = now.steady;
+    view_began_at_ = now.steady;
 }
 
-void cold_start_budget::on_resumed(instant now)
+void cold_start_budget::on_resumed(duration pause, instant now)
 {
     resumed_at_ = now.steady;
+    if (pause >= min_long_pause)
+    {
+        view_began_at_ = now.steady;
+    }
 }
 
 void cold_start_budget::on_shutdown()
@@ -63,9 +71,13 @@
     is_shutting_down_ = true;
 }
 
-void cold_start_budget::set_fleet(local_fleet fleet)
+void cold_start_budget::set_fleet(local_fleet fleet, instant now)
 {
     fleet_ = std::move(fleet);
+    if (is_isolated())
+    {
+        view_began_at_ = now.steady;
+    }
 }
 
 bool cold_start_budget::may_send(cold_server const& server, instant now) const
@@ -95,12 +107,12 @@
 
 bool cold_start_budget::may_use_budget(instant now) const
 {
-    auto const startup_period = std::max(
-        min_startup_period, startup_rotations * fleet_.heartbeat_rotation);
+    auto const view_period =
+        std::max(min_view_period, view_rotations * fleet_.heartbeat_rotation);
     auto const has_paused =
         resumed_at_ && now.steady - *resumed_at_ < resume_period;
     return !is_shutting_down_ && !has_paused &&
-           now.steady - started_at_ >= startup_period && !is_isolated();
+           now.steady - view_began_at_ >= view_period && !is_isolated();
 }
 
 bool cold_start_budget::is_isolated() const
--- a/dotterelrouter/slow_start/slow_start.hpp
+++ b/dotterelrouter/slow_start/slow_start.hpp
@@ -3,7 +3,7 @@
 //
 //     cold_start_budget budget({.self = address, .data_centre = own, ...});
 //     budget.on_started(now);
-//     budget.set_fleet(peers.known_local_fleet(now));
+//     budget.set_fleet(peers.known_local_fleet(now), now);
 //     if (budget.may_send(server, now))
 //     {
 //         send a first packet to the server
@@ -60,12 +60,12 @@
 
     /// Records the start of this process.
     void on_started(instant now);
-    /// Records that this process did not run until now.
-    void on_resumed(instant now);
+    /// Records that this process did not run for the time `pause` until now.
+    void on_resumed(duration pause, instant now);
     /// Records that this process shuts down.
     void on_shutdown();
     /// Replaces what is known of the other forwarders in this data centre.
-    void set_fleet(local_fleet fleet);
+    void set_fleet(local_fleet fleet, instant now);
 
     /// Whether this forwarder may send one more first packet to a server.
     [[nodiscard]] bool may_send(cold_server const& server, instant now) const;
@@ -89,7 +89,9 @@
 
     cold_start_budget_settings settings_;
     local_fleet fleet_{};
-    steady_time started_at_{};
+    /// Since when the view of the fleet has been growing complete: since the
+    /// start, or since this forwarder was last isolated.
+    steady_time view_began_at_{};
     std::optional<steady_time> resumed_at_{};
     bool is_shutting_down_ = false;
     /// Times of the first packets to each server, of the last accounting
--- a/dotterelrouter/slow_start/slow_start_test.cpp
+++ b/dotterelrouter/slow_start/slow_start_test.cpp
@@ -65,7 +65,7 @@
     cold_start_budget started_budget(std::size_t self, local_fleet fleet) const
     {
         auto budget = make_budget(self);
-        budget.set_fleet(std::move(fleet));
+        budget.set_fleet(std::move(fleet), instant{});
         return budget;
     }
 
@@ -140,7 +140,7 @@
     cold_start_budget budget{{.self = address_of(0),
                               .data_centre = own_data_centre,
                               .limits = {.overage = 1, .slack = 0}}};
-    budget.set_fleet(make_fleet(2, 0));
+    budget.set_fleet(make_fleet(2, 0), now);
     auto target = server;
     target.rate = 1.9;
     CHECK(!budget.may_send(target, now));
@@ -194,7 +194,7 @@
 {
     auto budget = make_budget(0);
     budget.on_started(now);
-    budget.set_fleet(make_fleet(2, 0));
+    budget.set_fleet(make_fleet(2, 0), now);
     advance(2999ms);
     CHECK(!budget.may_send(server, now));
     advance(1ms);
@@ -207,7 +207,7 @@
     budget.on_started(now);
     auto fleet = make_fleet(2, 0);
     fleet.heartbeat_rotation = 17s;
-    budget.set_fleet(fleet);
+    budget.set_fleet(fleet, now);
     advance(33s);
     CHECK(!budget.may_send(server, now));
     advance(1s);
@@ -218,7 +218,7 @@
 TEST(slow_start, nothing_is_sent_within_a_second_after_a_pause)
 {
     auto budget = started_budget(0, make_fleet(2, 0));
-    budget.on_resumed(now);
+    budget.on_resumed(2s, now);
     advance(999ms);
     CHECK(!budget.may_send(server, now));
     advance(1ms);
@@ -287,6 +287,30 @@
     CHECK(!started_budget(0, fleet).may_send(server, now));
 }
 
+/// It hears the others one after the other, and by each incomplete view it
+/// would have a larger share than theirs allow for.
+TEST(slow_start, nothing_is_sent_in_the_first_3_seconds_after_an_isolation)
+{
+    auto budget = started_budget(0, {.may_have_others = true});
+    budget.set_fleet({.may_have_others = true}, now);
+    budget.set_fleet(make_fleet(2, 0), now);
+    advance(2999ms);
+    CHECK(!budget.may_send(server, now));
+    advance(1ms);
+    CHECK(budget.may_send(server, now));
+}
+
+/// Others were forgotten while the process did not run.
+TEST(slow_start, nothing_is_sent_in_the_first_3_seconds_after_a_long_pause)
+{
+    auto budget = started_budget(0, make_fleet(2, 0));
+    budget.on_resumed(30s, now);
+    advance(2999ms);
+    CHECK(!budget.may_send(server, now));
+    advance(1ms);
+    CHECK(budget.may_send(server, now));
+}
+
 TEST(slow_start, the_last_forwarder_has_the_budget_once_the_others_have_left)
 {
     auto fleet = make_fleet(2, 0);
--- a/testing/forwarding/forwarder_group.cpp
+++ b/testing/forwarding/forwarder_group.cpp
@@ -34,8 +34,9 @@
 
 forwarder_group::forwarder_group(std::vector<std::string> data_centres,
                                  std::vector<server_record> servers,
-                                 unsigned token_hash_bits)
-    : token_hash_bits_(token_hash_bits)
+                                 unsigned token_hash_bits,
+                                 group_cold_limits cold_limits)
+    : token_hash_bits_(token_hash_bits), cold_limits_(cold_limits)
 {
     write_store(std::move(servers));
     for (std::size_t index = 0; index < data_centres.size(); ++index)
@@ -60,12 +61,23 @@
         .incarnation = ++starts_,
         .seeds = {members_.front().address, members_.back().address},
         .is_first_start = starts_ <= members_.size(),
-        .token_hash_bits = token_hash_bits_});
+        .token_hash_bits = token_hash_bits_,
+        .cold_limits = cold_limits_.limits});
     started.waiting.clear();
     started.is_frozen = false;
     deliver(index, timer_fired{});
 }
 
+void forwarder_group::add(std::string data_centre)
+{
+    auto const index = members_.size();
+    members_.push_back({.address = {members_.front().address.ip +
+                                        static_cast<std::uint32_t>(index),
+                                    members_.front().address.port},
+                        .data_centre = std::move(data_centre)});
+    start(index);
+}
+
 void forwarder_group::restart(std::size_t index)
 {
     kill(index);
@@ -283,9 +295,10 @@
         {now_.steady + message_delay, index, std::move(next_event)});
 }
 
-void forwarder_group::execute(std::size_t /*index*/,
+void forwarder_group::execute(std::size_t index,
                               forward_packet const& requested_effect)
 {
+    forwarding_records_.push_back({now_.steady, index});
     forwarded_.push_back(requested_effect);
     forwarded_.back().bytes = {};
 }
@@ -315,7 +328,10 @@
     page.update.through = {revision_};
     page.update.complete = true;
     page.update.servers = servers_;
-    page.update.routes = make_route_table(1, 1);
+    auto routes = *make_route_table(1, 1);
+    routes.services = {
+        {.name = "catalogue", .cold_rate = cold_limits_.cold_rate}};
+    page.update.routes = std::make_shared<route_table>(std::move(routes));
     messages_.push_back({now_.steady + message_delay, index, std::move(page)});
 }
 
@@ -361,6 +377,13 @@
     members_[index].has_exited = true;
 }
 
+void forwarder_group::execute(
+    std::size_t /*index*/, increment_forwarder_counter const& requested_effect)
+{
+    counters_[static_cast<std::size_t>(requested_effect.id)] +=
+        requested_effect.by;
+}
+
 void forwarder_group::execute(std::size_t /*index*/,
                               log_decision const& requested_effect)
 {
--- a/testing/forwarding/forwarder_group.hpp
+++ b/testing/forwarding/forwarder_group.hpp
@@ -11,6 +11,7 @@
 #include "dotterelrouter/forwarder/forwarder.hpp"
 #include "testing/forwarding/records.hpp"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -27,6 +28,21 @@
 /// Sequence number of the first packet of all flows of a group.
 inline constexpr std::uint32_t group_first_sequence = 1000;
 
+/// When a packet was forwarded to a server, and by which forwarder.
+struct forwarding_record
+{
+    steady_time sent_at{};
+    std::size_t forwarder = 0;
+};
+
+/// What a group declares of its service, and how it limits cold servers.
+struct group_cold_limits
+{
+    std::optional<cold_start_limits> limits{}; ///< Setting of all forwarders.
+    /// New flows per second that a cold server of "catalogue" can bear.
+    std::optional<double> cold_rate{};
+};
+
 /// Forwarders that read the same servers and exchange messages within 1 ms.
 class forwarder_group
 {
@@ -36,10 +52,12 @@
     forwarder_group(std::vector<std::string> data_centres,
                     std::uint32_t server_count);
 
-    /// Same, with these servers, and with tokens of fewer bits.
+    /// Same, with these servers, with tokens of fewer bits, and with limits of
+    /// cold servers.
     forwarder_group(std::vector<std::string> data_centres,
                     std::vector<server_record> servers,
-                    unsigned token_hash_bits = max_token_hash_bits);
+                    unsigned token_hash_bits = max_token_hash_bits,
+                    group_cold_limits cold_limits = {});
 
     /// Hands a packet to a forwarder, and lets messages between forwarders
     /// arrive for `response_time`. Returns the last packet that was forwarded
@@ -47,6 +65,12 @@
     std::optional<forward_packet> send(std::size_t index,
                                        packet_arrived const& arrived);
 
+    /// Hands a packet to a forwarder, without any time passing.
+    void arrive(std::size_t index, packet_arrived const& arrived)
+    {
+        deliver(index, arrived);
+    }
+
     /// A copy of a flow's first packet; `copies` were sent before.
     static packet_arrived first_packet(std::uint16_t port,
                                        std::uint32_t copies = 0);
@@ -66,6 +90,20 @@
     /// Starts a process that is not running.
     void start(std::size_t index);
 
+    /// Adds a process to the group and starts it.
+    void add(std::string data_centre);
+
+    /// Number of members, including those that are not running.
+    [[nodiscard]] std::size_t size() const
+    {
+        return members_.size();
+    }
+
+    [[nodiscard]] steady_time now() const
+    {
+        return now_.steady;
+    }
+
     [[nodiscard]] bool is_running(std::size_t index) const
     {
         return members_[index].reducer != nullptr;
@@ -79,6 +117,12 @@
     /// Drops all messages between two forwarders.
     void cut(std::size_t first, std::size_t second);
 
+    /// Ends all cuts.
+    void heal()
+    {
+        cuts_.clear();
+    }
+
     /// Replaces the servers of the store, and lets all forwarders read it.
     void set_servers(std::vector<server_record> servers);
     /// Replaces the servers of the store, which no forwarder reads before it
@@ -122,6 +166,18 @@
         return forwarded_;
     }
 
+    /// When and by which forwarder each of these packets was forwarded.
+    [[nodiscard]] std::span<forwarding_record const> forwarding_records() const
+    {
+        return forwarding_records_;
+    }
+
+    /// Number of increments of a counter, of all forwarders.
+    [[nodiscard]] std::size_t count_of(forwarder_counter id) const
+    {
+        return counters_[static_cast<std::size_t>(id)];
+    }
+
     /// Time for which `send` waits for messages between forwarders.
     static constexpr duration response_time = std::chrono::milliseconds{4};
 
@@ -155,6 +211,8 @@
     void execute(std::size_t index, log_decision const& requested_effect);
     void execute(std::size_t index, refuse_flow const& requested_effect);
     void execute(std::size_t index, exit_process const& requested_effect);
+    void execute(std::size_t index,
+                 increment_forwarder_counter const& requested_effect);
 
     /// Other effects have no consequences here.
     template <class Other>
@@ -176,7 +234,10 @@
     unsigned token_hash_bits_ = max_token_hash_bits;
     std::uint64_t revision_ = 9; ///< Of the store.
     std::uint64_t starts_ = 0;
+    group_cold_limits cold_limits_;
     std::vector<forward_packet> forwarded_{};
+    std::vector<forwarding_record> forwarding_records_{};
+    std::array<std::size_t, forwarder_counter_count> counters_{};
     std::vector<decision> logged_{};
     std::size_t binding_messages_ = 0;
     std::size_t refused_flows_ = 0;
