--- a/testing/forwarding/fleet.cpp
+++ b/testing/forwarding/fleet.cpp
@@ -81,7 +81,10 @@
         .incarnation = random_(),
         .seeds = {forwarders_[0].address, forwarders_[1].address},
         .is_first_start = restarted.generation == 1,
-        .token_hash_bits = token_hash_bits_});
+        .token_hash_bits = token_hash_bits_,
+        .cold_limits = faults_.cold_start > 0 ? std::optional{cold_start_limits{
+                                                    .overage = 1, .slack = 0}}
+                                              : std::nullopt});
     restarted.started_at = now_.steady;
     disturb(index, now_.steady);
     restarted.timer_deadline = now_.steady;
--- a/testing/forwarding/fleet.hpp
+++ b/testing/forwarding/fleet.hpp
@@ -40,6 +40,9 @@
     /// The store is away for up to 2 s and comes back from a copy that is up to
     /// 10 s old. Servers write their entries again within 1.2 s after that.
     double store_rollback = 0.0;
+    /// A server is cold for some seconds when it registers. Above 0, forwarders
+    /// limit the new flows of cold servers.
+    double cold_start = 0.0;
 };
 
 /// Result of a run.
@@ -73,6 +76,8 @@
     /// Hides all changes from the forwarders, so that they learn new records
     /// only from snapshots.
     bool hide_changes = false;
+    /// Lets servers register without saying that they are cold.
+    bool hide_cold_starts = false;
 
     /// Whether the operator writes the latest routes again after a rollback of
     /// the store, rather than with the next change only.
@@ -85,6 +90,9 @@
         bool is_registered = true;
         steady_time changed_at{}; ///< Last change of `record`.
         steady_time silent_until{};
+        steady_time cold_until{};
+        /// First packets of the last second while the server was cold.
+        std::deque<steady_time> cold_first_packets{};
     };
 
     struct model_flow
@@ -183,6 +191,8 @@
     void change_store();
     void
     write_server(std::uint32_t number, server_state state, bool is_deleted);
+    /// Makes a server cold that has just registered.
+    void start_cold(model_server& server);
     void write_next_routes();
     void roll_back_store();
     void write_again(std::string const& name);
@@ -230,6 +240,7 @@
     forwarder_at(endpoint address) const;
     void on_server_packet(std::size_t sender, forward_packet const& packet);
     void check_new_flow(std::size_t sender, model_server const& server);
+    void check_cold_server(model_server& server);
     void check_versions();
     void on_caller_timer(std::uint16_t port);
     void send_packet(model_flow& flow, packet_type type);
--- a/testing/forwarding/fleet_callers.cpp
+++ b/testing/forwarding/fleet_callers.cpp
@@ -21,6 +21,8 @@
 constexpr duration recovery_period = 4s;
 // Time within which undisturbed forwarders must learn of a change of the store.
 constexpr duration max_propagation_delay = 3s;
+// First packets that a cold server may get within a second.
+constexpr std::size_t max_cold_first_packets = 4;
 
 } // namespace
 
@@ -44,6 +46,10 @@
             "a packet was sent to a server that was never registered");
         return;
     }
+    if (type == packet_type::open)
+    {
+        check_cold_server(found->second);
+    }
     if (occurs_with(faults_.packet_loss) ||
         now_.steady < found->second.silent_until)
     {
@@ -131,6 +137,26 @@
     }
 }
 
+void forwarder_fleet_simulation::check_cold_server(model_server& server)
+{
+    if (now_.steady >= server.cold_until)
+    {
+        return;
+    }
+    auto& arrivals = server.cold_first_packets;
+    std::erase_if(arrivals,
+                  [&](steady_time arrival)
+                  {
+                      return now_.steady - arrival >= 1s;
+                  });
+    arrivals.push_back(now_.steady);
+    if (arrivals.size() > max_cold_first_packets)
+    {
+        report_violation("more first packets than declared reached " +
+                         server.record.name + ", which is cold,");
+    }
+}
+
 void forwarder_fleet_simulation::check_open_flow(std::size_t sender,
                                                  model_flow& flow,
                                                  std::uint32_t server)
--- a/testing/forwarding/fleet_store.cpp
+++ b/testing/forwarding/fleet_store.cpp
@@ -23,6 +23,9 @@
 // Time after the removal of its entry in which a server may still get flows.
 constexpr duration expired_entry_period = 2500ms;
 
+/// New flows per second that a cold server can bear.
+constexpr double cold_rate = 4;
+
 } // namespace
 
 void forwarder_fleet_simulation::write_server(std::uint32_t number,
@@ -33,9 +36,22 @@
     server.record = make_server_record(number, 0, state);
     server.is_registered = !is_deleted;
     server.changed_at = now_.steady;
+    if (faults_.cold_start > 0 && state == server_state::ready &&
+        occurs_with(faults_.cold_start))
+    {
+        start_cold(server);
+    }
     write_again(server.record.name);
 }
 
+void forwarder_fleet_simulation::start_cold(model_server& server)
+{
+    constexpr duration cold_duration = 5s;
+    server.record.cold_remaining =
+        hide_cold_starts ? duration::zero() : cold_duration;
+    server.cold_until = now_.steady + cold_duration;
+}
+
 /// Makes the store's entry of a server match the server.
 void forwarder_fleet_simulation::write_again(std::string const& name)
 {
@@ -50,7 +66,9 @@
 void forwarder_fleet_simulation::write_next_routes()
 {
     auto const version = routes_ ? routes_->version + 1 + random_() % 3 : 1;
-    routes_ = make_route_table(version, 0);
+    auto table = *make_route_table(version, 0);
+    table.services = {{.name = "catalogue", .cold_rate = cold_rate}};
+    routes_ = std::make_shared<route_table>(std::move(table));
     store_.write_routes(*routes_);
     routes_changed_at_ = now_.steady;
     routes_due_at_.reset();
--- a/testing/forwarding/fleet_test.cpp
+++ b/testing/forwarding/fleet_test.cpp
@@ -71,6 +71,35 @@
         "shared tokens", {.restart_one = 0.02}, 0.8, true, short_token_bits);
 }
 
+/// Servers are cold when they register, while forwarders restart, stand still
+/// and are cut off from each other.
+TEST(forwarder_fleet, cold_servers_get_no_more_flows_than_declared)
+{
+    expect_no_violations("cold servers",
+                         {.restart_one = 0.02,
+                          .restart_all = 0.01,
+                          .pause = 0.02,
+                          .link_cut = 0.02,
+                          .cold_start = 0.7},
+                         0.8);
+}
+
+TEST(forwarder_fleet, flows_beyond_the_limit_of_cold_servers_are_detected)
+{
+    int runs_with_violations = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        fault_probabilities faults;
+        faults.cold_start = 0.7;
+        forwarder_fleet_simulation simulation{
+            seed, fleet_size_for(seed), faults};
+        simulation.hide_cold_starts = true;
+        runs_with_violations +=
+            simulation.run(run_length).violation.empty() ? 0 : 1;
+    }
+    CHECK(runs_with_violations >= 15);
+}
+
 TEST(forwarder_fleet, packets_to_a_wrong_server_are_detected)
 {
     CHECK(count_runs_with_violations(
