--- a/dotterelrouter/forwarder/evacuations.cpp
+++ b/dotterelrouter/forwarder/evacuations.cpp
@@ -42,13 +42,15 @@
 
 void forwarder::refuse_unplaced_flow(caller_packet const& packet,
                                      route const& flow_route,
+                                     placed_flow const& flow,
                                      instant now,
                                      forwarder_effects& out)
 {
     auto const* const target_service = choose_service(flow_route, packet.flow);
     if (target_service == nullptr || !is_all_evacuated(*target_service))
     {
-        refuse_packet(packet, "no server", now, out);
+        refuse_packet(
+            packet, missing_server_reason(flow_route, flow, now), now, out);
         return;
     }
     out.push_back(increment_forwarder_counter{
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -84,6 +84,12 @@
     if (server == nullptr)
     {
         drop_unrouted_packet(packet, now, out);
+        return true;
+    }
+    auto const is_first = packet.type == packet_type::open;
+    if (!is_first || !drop_or_count_copy(*server, now))
+    {
+        forward_later_packet(*server, packet, out);
     }
     else if (packet.type != packet_type::open || accepts_first_packets(*server))
     {
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -147,7 +147,8 @@
     if (flow->opened)
     {
         auto const* const server = directory_.find_server(flow->server);
-        if (server != nullptr && accepts_first_packets(*server))
+        if (server != nullptr && accepts_first_packets(*server) &&
+            !drop_or_count_copy(*server, now))
         {
             forward_to(*server, packet.bytes, later_token_of(*server), out);
         }
@@ -166,8 +167,8 @@
     attempt_server(*flow, *flow_route, now, out);
     if (flow->attempts == 0 && attempts_before == 0)
     {
+        refuse_unplaced_flow(packet, *flow_route, *flow, now, out);
         flows_.remove(packet.flow);
-        refuse_unplaced_flow(packet, *flow_route, now, out);
     }
 }
 
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -122,19 +122,22 @@
 
 std::optional<server_id> forwarder::choose_server(service const& target_service,
                                                   placed_flow const& flow,
-                                                  instant now) const
+                                                  instant now,
+                                                  cold_limit_use limits) const
 {
     auto const is_suspicion_ignored =
         is_majority_suspected(target_service, now);
-    auto const is_eligible = [&](server_id server)
+    auto const can_take_flow = [&](server_id server)
     {
-        auto const* const candidate = directory_.find_server(server);
-        return candidate->token != route_token{} &&
-               !directory_.is_evacuated(candidate->record.data_centre);
+        auto const& candidate = *directory_.find_server(server);
+        return candidate.token != route_token{} &&
+               !directory_.is_evacuated(candidate.record.data_centre) &&
+               (limits == cold_limit_use::ignored ||
+                may_send_first_packet(candidate, now));
     };
     auto const is_unattempted = [&](server_id server)
     {
-        return is_eligible(server) && !flow.has_attempted(server);
+        return can_take_flow(server) && !flow.has_attempted(server);
     };
     auto const is_reachable = [&](server_id server)
     {
@@ -168,7 +171,7 @@
             return is_unattempted(server) && is_reachable(server);
         });
     choice = choice ? choice : choose_among(is_unattempted);
-    choice = choice ? choice : choose_among(is_eligible);
+    choice = choice ? choice : choose_among(can_take_flow);
     return choice ? std::optional{choice->server} : std::nullopt;
 }
 
--- a/testing/forwarding/fleet.hpp
+++ b/testing/forwarding/fleet.hpp
@@ -43,6 +43,9 @@
     /// The operator evacuates one of three data centres, or withdraws that. All
     /// servers are in one data centre if it is 0.
     double evacuation = 0.0;
+    /// A server is cold for some seconds when it registers. Above 0, forwarders
+    /// limit the new flows of cold servers.
+    double cold_start = 0.0;
 };
 
 /// Result of a run.
@@ -79,6 +82,8 @@
     bool hide_changes = false;
     /// Removes all evacuations from what the store responds.
     bool hide_evacuations = false;
+    /// Lets servers register without saying that they are cold.
+    bool hide_cold_starts = false;
 
     /// Whether the operator writes the latest routes and evacuations again
     /// after a rollback of the store, rather than with the next change only.
@@ -91,6 +96,9 @@
         bool is_registered = true;
         steady_time changed_at{}; ///< Last change of `record`.
         steady_time silent_until{};
+        steady_time cold_until{};
+        /// First packets of the last second while the server was cold.
+        std::deque<steady_time> cold_first_packets{};
     };
 
     /// What the operator wants of a data centre.
@@ -196,6 +204,8 @@
     void change_store();
     void
     write_server(std::uint32_t number, server_state state, bool is_deleted);
+    /// Makes a server cold that has just registered.
+    void start_cold(model_server& server);
     void write_next_routes();
     /// Evacuates a random data centre, or withdraws that.
     void change_evacuation();
@@ -249,6 +259,7 @@
     forwarder_at(endpoint address) const;
     void on_server_packet(std::size_t sender, forward_packet const& packet);
     void check_new_flow(std::size_t sender, model_server const& server);
+    void check_cold_server(model_server& server);
     void check_versions();
     void on_caller_timer(std::uint16_t port);
     void send_packet(model_flow& flow, packet_type type);
