Send copies of first packets to a bound server only if it takes both checks

The merge of evacuations and of cold limits had left one of them out of forward_to_bound_server; copies_of_a_bound_flow_count_and_are_dropped showed it.

--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -87,11 +87,8 @@
         return true;
     }
     auto const is_first = packet.type == packet_type::open;
-    if (!is_first || !drop_or_count_copy(*server, now))
-    {
-        forward_later_packet(*server, packet, out);
-    }
-    else if (packet.type != packet_type::open || accepts_first_packets(*server))
+    if (!is_first || (accepts_first_packets(*server) &&
+                      !drop_or_count_copy(*server, now)))
     {
         forward_later_packet(*server, packet, out);
     }
