Don't refuse copies of first packets at cold servers

Copies, and packets that may have waited for as long as a caller waits before a copy, are dropped now.

--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -317,11 +317,14 @@
                                   internal::placed_flow const& flow,
                                   instant now,
                                   forwarder_effects& out);
-    /// Returns why no server can be chosen for the first attempt of a flow.
-    [[nodiscard]] std::string_view
-    missing_server_reason(route const& flow_route,
-                          internal::placed_flow const& flow,
-                          instant now) const;
+    /// Same, for the service of a route that the flow goes to.
+    [[nodiscard]] bool is_kept_from_cold(route const& flow_route,
+                                         internal::placed_flow const& flow,
+                                         instant now) const;
+    /// Whether another copy of a first packet may have reached a server before,
+    /// through another forwarder, so that a refusal could end an open flow.
+    [[nodiscard]] bool may_be_open_elsewhere(caller_packet const& packet,
+                                             instant now) const;
     void update_cold_budget(instant now);
 
     void process_due_flows(instant now, forwarder_effects& out);
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -166,9 +166,16 @@
     attempt_server(*flow, *flow_route, now, out);
     if (flow->attempts == 0 && attempts_before == 0)
     {
-        auto const reason = missing_server_reason(*flow_route, *flow, now);
+        auto const is_kept = is_kept_from_cold(*flow_route, *flow, now);
         flows_.remove(packet.flow);
-        refuse_packet(packet, reason, now, out);
+        if (!is_kept)
+        {
+            refuse_packet(packet, "no server", now, out);
+        }
+        else if (!may_be_open_elsewhere(packet, now))
+        {
+            refuse_packet(packet, "no warm server", now, out);
+        }
     }
 }
 
--- a/dotterelrouter/forwarder/slow_start.cpp
+++ b/dotterelrouter/forwarder/slow_start.cpp
@@ -1,5 +1,6 @@
 // Limits on the new flows of cold servers, as they affect placement.
 #include "dotterelrouter/forwarder/forwarder.hpp"
+#include "dotterelrouter/forwarder/internal/opening.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -107,15 +108,22 @@
                                .revision = directory_.revision()});
 }
 
-std::string_view forwarder::missing_server_reason(route const& flow_route,
-                                                  placed_flow const& flow,
-                                                  instant now) const
+bool forwarder::is_kept_from_cold(route const& flow_route,
+                                  placed_flow const& flow,
+                                  instant now) const
 {
     auto const* const target_service = choose_service(flow_route, flow.key);
     return target_service != nullptr &&
-                   is_kept_from_cold(*target_service, flow, now)
-               ? "no warm server"
-               : "no server";
+           is_kept_from_cold(*target_service, flow, now);
+}
+
+bool forwarder::may_be_open_elsewhere(caller_packet const& packet,
+                                      instant now) const
+{
+    // A caller sends no copy before this time, and the opening takes longer.
+    auto const waited = now.steady - earliest_arrival(now);
+    return packet.acknowledgement > 0 ||
+           waited >= internal::first_response_period;
 }
 
 void forwarder::update_cold_budget(instant now)
--- a/dotterelrouter/forwarder/slow_start_test.cpp
+++ b/dotterelrouter/forwarder/slow_start_test.cpp
@@ -144,6 +144,22 @@
     LONGS_EQUAL(1, open(share + 3));
 }
 
+/// The first copy may have opened the flow through another forwarder, which the
+/// refusal would end.
+TEST(forwarder_slow_start, copies_and_late_packets_are_dropped_and_not_refused)
+{
+    start({make_cold_server(1)});
+    dispatch(shutdown_requested{});
+    LONGS_EQUAL(0, open(1, 1));
+    LONGS_EQUAL(0, effects_of_type<refuse_flow>(out).size());
+    now.steady += 200ms; // The packet may have waited for as long.
+    LONGS_EQUAL(0, open(2));
+    LONGS_EQUAL(0, effects_of_type<refuse_flow>(out).size());
+    advance(200ms);
+    LONGS_EQUAL(0, open(3));
+    LONGS_EQUAL(1, effects_of_type<refuse_flow>(out).size());
+}
+
 TEST(forwarder_slow_start, service_without_servers_is_not_refused_as_cold)
 {
     auto draining = make_cold_server(1);
