--- a/dotterelrouter/forwarder/evacuations.cpp
+++ b/dotterelrouter/forwarder/evacuations.cpp
@@ -47,15 +47,24 @@
                                      forwarder_effects& out)
 {
     auto const* const target_service = choose_service(flow_route, packet.flow);
-    if (target_service == nullptr || !is_all_evacuated(*target_service))
+    auto const is_evacuated =
+        target_service != nullptr && is_all_evacuated(*target_service);
+    auto const is_kept = is_kept_from_cold(flow_route, flow, now);
+    if ((is_evacuated || is_kept) && may_be_open_elsewhere(packet, now))
     {
-        refuse_packet(
-            packet, missing_server_reason(flow_route, flow, now), now, out);
         return;
     }
-    out.push_back(increment_forwarder_counter{
-        forwarder_counter::flows_refused_evacuated});
-    refuse_packet(packet, "all data centres evacuated", now, out);
+    if (is_evacuated)
+    {
+        out.push_back(increment_forwarder_counter{
+            forwarder_counter::flows_refused_evacuated});
+    }
+    refuse_packet(packet,
+                  is_evacuated ? "all data centres evacuated"
+                  : is_kept    ? "no warm server"
+                               : "no server",
+                  now,
+                  out);
 }
 
 std::size_t forwarder::flows_at(data_centre_id data_centre) const
--- a/dotterelrouter/forwarder/evacuations_test.cpp
+++ b/dotterelrouter/forwarder/evacuations_test.cpp
@@ -65,6 +65,16 @@
         dispatch(timer_fired{});
     }
 
+    /// Runs without gaps for so long that no packet can have waited in the
+    /// socket.
+    void run_without_gaps()
+    {
+        for (int step = 0; step < 25; ++step)
+        {
+            advance(20ms);
+        }
+    }
+
     /// Delivers a snapshot of the store, in which these data centres are
     /// evacuated, with servers 1 and 2 of "a", 3 and 4 of "b", 5 and 6 of "c".
     void read_snapshot(std::vector<std::string_view> evacuated = {})
@@ -248,6 +258,7 @@
 TEST(forwarder_evacuations, flow_is_refused_at_once_if_all_are_evacuated)
 {
     start({"a", "b", "c"});
+    run_without_gaps();
     dispatch(make_packet_arrived(make_flow_key(1), packet_type::open));
     LONGS_EQUAL(0, effects_of_type<forward_packet>(out).size());
     LONGS_EQUAL(1, effects_of_type<refuse_flow>(out).size());
@@ -260,6 +271,21 @@
     CHECK((servers_of_new_flows(200) == std::set<std::uint64_t>{5, 6}));
 }
 
+/// A copy of a first packet, or one that waited for as long as its caller waits
+/// before a copy, may belong to a flow that opened through another forwarder: a
+/// refusal would reset it.
+TEST(forwarder_evacuations, copies_are_dropped_if_all_are_evacuated)
+{
+    start({"a", "b", "c"});
+    dispatch(make_packet_arrived(make_flow_key(1), packet_type::open));
+    LONGS_EQUAL(0, effects_of_type<refuse_flow>(out).size());
+    run_without_gaps();
+    dispatch(make_packet_arrived(make_flow_key(2), packet_type::open, {}, 1));
+    LONGS_EQUAL(0, effects_of_type<refuse_flow>(out).size());
+    LONGS_EQUAL(0, effects_of_type<forward_packet>(out).size());
+    LONGS_EQUAL(0, state.gauges(now).tracked_flows);
+}
+
 /// A service without any server is none that was evacuated.
 TEST(forwarder_evacuations, other_refusals_keep_their_reason)
 {
