Evacuate a data centre in the soak test

The operator of the soak test evacuates a data centre for 6 to 9 s, and a new flow that reaches it later than 5 s after the write is a violation. Servers of each service are in both data centres, and evacuations have their own random engine, so that a seed draws the same faults as before.

--- a/dotterelrouter/forwarder/evacuations_test.cpp
+++ b/dotterelrouter/forwarder/evacuations_test.cpp
@@ -67,7 +67,7 @@
 
     /// Delivers a snapshot of the store, in which these data centres are
     /// evacuated, with servers 1 and 2 of "a", 3 and 4 of "b", 5 and 6 of "c".
-    void read_snapshot(std::vector<std::string_view> evacuated = {})
+    void read_snapshot(std::vector<std::string_view> const& evacuated = {})
     {
         snapshot_page_read page;
         page.update.through = revision;
@@ -88,10 +88,10 @@
         dispatch(page);
     }
 
-    void start(std::vector<std::string_view> evacuated = {})
+    void start(std::vector<std::string_view> const& evacuated = {})
     {
         dispatch(timer_fired{});
-        read_snapshot(std::move(evacuated));
+        read_snapshot(evacuated);
     }
 
     evacuation_record make_evacuation(std::string_view name, bool active) const
--- a/testing/soak/model.cpp
+++ b/testing/soak/model.cpp
@@ -45,7 +45,7 @@
 soak_model::soak_model(soak_settings settings, soak_addresses addresses)
     : settings_(settings), addresses_(std::move(addresses)),
       random_engine_(settings.seed), rollback_engine_(settings.seed),
-      forwarders_(settings.forwarder_count)
+      evacuation_engine_(settings.seed), forwarders_(settings.forwarder_count)
 {
 }
 
--- a/testing/soak/model.hpp
+++ b/testing/soak/model.hpp
@@ -41,6 +41,9 @@
     std::size_t server_count = 6;
     duration run_duration = std::chrono::seconds{25};
     double flows_per_second = 60;
+    /// Probability that the operator evacuates a data centre, each time that a
+    /// fault may be drawn.
+    double evacuation_probability = 0.02;
 };
 
 /// Addresses at which callers and servers receive.
@@ -216,6 +219,11 @@
     {
     };
 
+    /// Withdraws the evacuation.
+    struct return_data_centre
+    {
+    };
+
     struct stop_server
     {
         std::uint64_t server_number = 0;
@@ -245,6 +253,7 @@
                                           restore_link,
                                           restore_store,
                                           write_entries_again,
+                                          return_data_centre,
                                           stop_server,
                                           remove_server_entry,
                                           start_server>;
@@ -267,6 +276,7 @@
     void perform(restore_link const& action, soak_effects& effects);
     void perform(restore_store const& action, soak_effects& effects);
     void perform(write_entries_again const& action, soak_effects& effects);
+    void perform(return_data_centre const& action, soak_effects& effects);
     void perform(stop_server const& action, soak_effects& effects);
     void perform(remove_server_entry const& action, soak_effects& effects);
     void perform(start_server const& action, soak_effects& effects);
@@ -314,6 +324,11 @@
     void begin_store_outage(soak_effects& effects);
     void roll_back(soak_effects& effects);
     void replace_server(soak_effects& effects);
+    /// Evacuates a data centre for some seconds, at random.
+    void draw_evacuation(soak_effects& effects);
+    /// Writes or removes the key of the evacuation.
+    void write_evacuation(soak_effects& effects) const;
+    [[nodiscard]] bool is_evacuated(backend_server const& server) const;
     void change_routes(soak_effects& effects);
     /// Ends all faults that last, at the start of the fault-free phase.
     void end_faults(soak_effects& effects);
@@ -342,6 +357,8 @@
     std::mt19937_64 random_engine_;
     /// For rollbacks only, so that they change no other draw of a seed.
     std::mt19937_64 rollback_engine_;
+    /// Same, for evacuations.
+    std::mt19937_64 evacuation_engine_;
     steady_time now_{};
     std::optional<steady_time> started_at_{};
     bool is_fault_free_phase_ = false;
@@ -354,6 +371,8 @@
     route_history route_history_{};
     bool is_store_unavailable_ = false;
     steady_time store_stable_since_{};
+    std::optional<steady_time> evacuated_since_{};
+    steady_time returned_at_{}; ///< End of the last evacuation.
     /// Servers whose entry was removed, in order.
     std::vector<std::uint64_t> removed_servers_{};
     std::uint64_t next_server_number_ = 1;
--- a/testing/soak/model_faults.cpp
+++ b/testing/soak/model_faults.cpp
@@ -43,6 +43,20 @@
 constexpr double route_change_probability = 0.08;
 constexpr double reload_probability = 0.01;
 
+/// Key of the evacuation of the data centre that is ever evacuated. Each
+/// service has servers in the other one as well, as long as none is replaced.
+constexpr std::string_view evacuation_key = "op/evacuate/b";
+constexpr std::size_t evacuated_data_centre = 1;
+constexpr duration min_evacuation = 6s;
+constexpr duration max_evacuation = 9s;
+
+/// Index of the data centre of the server at an address.
+std::size_t data_centre_at(std::size_t address_index)
+{
+    constexpr std::size_t data_centre_count = 2;
+    return address_index / permanent_route_count % data_centre_count;
+}
+
 /// Name of a server's entry in the store: "i-" and its number in hexadecimal.
 std::string server_entry_name(std::uint64_t number)
 {
@@ -80,6 +94,7 @@
         return;
     }
     schedule(fault_interval, draw_fault{});
+    draw_evacuation(effects);
     auto const forwarder = draw_index(forwarders_.size());
     auto const previous_faults = report_.faults;
     report_.faults += 1;
@@ -295,6 +310,7 @@
     }
     effects.emplace_back(
         write_store_key{"op/config", route_history_.newest_json()});
+    write_evacuation(effects);
     for (auto const& server : servers_)
     {
         if (server.is_alive)
@@ -304,6 +320,44 @@
     }
 }
 
+void soak_model::draw_evacuation(soak_effects& effects)
+{
+    std::bernoulli_distribution is_drawn{settings_.evacuation_probability};
+    if (!is_drawn(evacuation_engine_) || evacuated_since_)
+    {
+        return;
+    }
+    evacuated_since_ = now_;
+    write_evacuation(effects);
+    schedule(duration{std::uniform_int_distribution<duration::rep>{
+                 duration{min_evacuation}.count(),
+                 duration{max_evacuation}.count()}(evacuation_engine_)},
+             return_data_centre{});
+}
+
+void soak_model::perform(return_data_centre const& /*action*/,
+                         soak_effects& effects)
+{
+    if (evacuated_since_)
+    {
+        evacuated_since_.reset();
+        returned_at_ = now_;
+        write_evacuation(effects);
+    }
+}
+
+void soak_model::write_evacuation(soak_effects& effects) const
+{
+    effects.emplace_back(write_store_key{std::string{evacuation_key},
+                                         evacuated_since_ ? "{}" : ""});
+}
+
+bool soak_model::is_evacuated(backend_server const& server) const
+{
+    return evacuated_since_ &&
+           data_centre_at(server.address_index) == evacuated_data_centre;
+}
+
 void soak_model::write_server_entry(backend_server const& server,
                                     soak_effects& effects)
 {
@@ -311,7 +365,8 @@
         {"Service", service_name(server.service)},
         {"Address", to_string(addresses_.servers[server.address_index])},
         {"Zone",
-         std::string(1, static_cast<char>('a' + server.address_index % 2))},
+         std::string(
+             1, static_cast<char>('a' + data_centre_at(server.address_index)))},
         {"Version", "v1"},
         {"Slots", 3},
         {"State", server.draining_since ? "draining" : "ready"},
@@ -406,6 +461,7 @@
     {
         perform(restore_store{}, effects);
     }
+    perform(return_data_centre{}, effects);
 }
 
 } // namespace dotterelrouter::testing
--- a/testing/soak/model_servers.cpp
+++ b/testing/soak/model_servers.cpp
@@ -18,6 +18,8 @@
 constexpr duration min_stable_duration = 4s;
 /// Time within which a forwarder stops sending new flows to a draining server.
 constexpr duration max_draining_propagation_delay = 3s;
+/// Time from which no new flow may reach an evacuated data centre.
+constexpr duration evacuation_bound = 5s;
 /// Time within which a forwarder applies a new version of the routes.
 constexpr duration max_version_propagation_delay = 3s;
 
@@ -184,6 +186,11 @@
     {
         record_violation("a new flow reached a draining server");
     }
+    if (is_evacuated(server) && is_stable(forwarder) &&
+        now_ - *evacuated_since_ > evacuation_bound + check_tolerance)
+    {
+        record_violation("a new flow reached an evacuated data centre");
+    }
 }
 
 void soak_model::record_misrouted_packet(caller_flow& flow,
@@ -214,6 +221,11 @@
 void soak_model::record_version_probe(version_probe const& probe,
                                       bool has_route)
 {
+    if (!has_route && (evacuated_since_ ||
+                       now_ - returned_at_ <= max_version_propagation_delay))
+    {
+        return; // All servers of the service may be in that data centre.
+    }
     auto& state = forwarders_[probe.forwarder];
     auto min_version = std::size_t{0};
     if (is_stable(probe.forwarder))
--- a/testing/soak/model_test.cpp
+++ b/testing/soak/model_test.cpp
@@ -163,6 +163,52 @@
     LONGS_EQUAL(1, violation_count());
 }
 
+/// Faults are drawn as well, so that forwarder 0 is stable with few seeds only.
+TEST(soak_model, new_flow_in_an_evacuated_data_centre_is_reported)
+{
+    int detecting_runs = 0;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed)
+    {
+        soak_model evacuating{{.seed = seed,
+                               .forwarder_count = 3,
+                               .server_count = 4,
+                               .run_duration = 60s,
+                               .evacuation_probability = 1},
+                              addresses};
+        auto const is_reported = [&](std::size_t server)
+        {
+            packet_fields const syn{.flags = syn_flag,
+                                    .source = addresses.caller,
+                                    .destination = route_address(0)};
+            std::string bytes(server_number_size, '\0');
+            bytes.back() = static_cast<char>(server + 1);
+            bytes += encode_packet(syn);
+            soak_effects effects;
+            evacuating.reduce(
+                server_received{addresses.servers[server], 0, bytes},
+                now,
+                effects);
+            return std::ranges::any_of(evacuating.report().violations,
+                                       [](std::string const& violation)
+                                       {
+                                           return violation.ends_with(
+                                               "an evacuated data centre");
+                                       });
+        };
+        auto is_detected = false;
+        for (int tick = 0; tick < 2000 && !is_detected; ++tick)
+        {
+            now.steady += tick_interval;
+            soak_effects effects;
+            evacuating.reduce(soak_tick{}, now, effects);
+            CHECK(!is_reported(0));
+            is_detected = is_reported(2);
+        }
+        detecting_runs += is_detected ? 1 : 0;
+    }
+    CHECK(detecting_runs >= 3);
+}
+
 TEST(soak_model, unexpected_exit_of_a_process_is_reported)
 {
     advance(1s);
