Add the interface of shared load information

The library fleet_load will combine the load that a forwarder observes with the reports of others. This declares its interface, so that spillover and overload control can be built on it: data_centre_loads() and relative_speed(). Queries return that nothing is known. forwarder::loads_of() adds the slots of usable servers and whether a data centre can be reached.

--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -56,6 +56,9 @@
               .incarnation = settings.incarnation,
               .seeds = std::move(settings.seeds)}),
       reader_(settings.incarnation), reachability_(data_centre_),
+      load_sharing_(settings.load_sharing),
+      fleet_load_(
+          {.data_centre = data_centre_, .incarnation = settings.incarnation}),
       bindings_({.data_centre = data_centre_,
                  .flow_lifetime = settings.flow_lifetime}),
       is_first_start_(settings.is_first_start)
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -17,6 +17,7 @@
 
 #include "dotterelrouter/bindings/bindings.hpp"
 #include "dotterelrouter/directory/directory.hpp"
+#include "dotterelrouter/fleet_load/fleet_load.hpp"
 #include "dotterelrouter/forwarder/internal/flow_table.hpp"
 #include "dotterelrouter/forwarder/internal/held_flows.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
@@ -257,6 +258,11 @@
     choose_server(service const& target_service,
                   internal::placed_flow const& flow,
                   instant now) const;
+    /// Returns the load of a service in each data centre, the own one first,
+    /// with the slots that its servers offer to new flows of this forwarder.
+    /// Linear in the number of servers.
+    [[nodiscard]] std::vector<data_centre_load>
+    loads_of(service const& target_service, instant now) const;
     /// Marks a flow as open at a server, and reports the handshake.
     void mark_opened(internal::placed_flow& flow,
                      server_id server,
@@ -339,6 +345,8 @@
     store_reader reader_;
     reachability reachability_;
     load_shedder load_shedder_;
+    std::optional<load_sharing_settings> load_sharing_;
+    fleet_load fleet_load_;
     internal::flow_table flows_;
     binding_table bindings_;
     /// Version of the peers that were passed to `bindings_`.
