Combine own load with the reports of other forwarders

fleet_load keeps decaying sums of what this forwarder observes, and the last report of each other one. The sums over the own data centre are extrapolated from recent reporters to all live forwarders, as a report reaches only a few forwarders at a time.

--- a/dotterelrouter/fleet_load/fleet_load.hpp
+++ b/dotterelrouter/fleet_load/fleet_load.hpp
@@ -15,6 +15,9 @@
 // the load of a data centre is unknown. Not thread-safe.
 #pragma once
 
+#include "dotterelrouter/fleet_load/internal/decaying_sum.hpp"
+#include "dotterelrouter/fleet_load/internal/report_store.hpp"
+#include "dotterelrouter/fleet_load/internal/server_samples.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
 #include <cstddef>
@@ -30,22 +33,9 @@
 namespace dotterelrouter
 {
 
-/// Age from which a report is ignored.
-inline constexpr duration load_report_ttl = std::chrono::seconds{3};
-
 /// Interval at which the requests in progress are sampled.
 inline constexpr duration load_sample_interval = std::chrono::milliseconds{100};
 
-/// A server, as far as its load is concerned. The views must be valid during
-/// the call that takes them.
-struct observed_server
-{
-    server_id id{};
-    std::string_view name{};
-    std::string_view service{};
-    data_centre_id data_centre{};
-};
-
 /// Requests in progress that this forwarder sent to a server.
 struct requests_at_server
 {
@@ -96,11 +86,17 @@
                    forwarder_load_report const& report,
                    std::span<observed_server const> servers,
                    instant now);
-    /// Returns the report to a forwarder of the own data centre.
-    [[nodiscard]] forwarder_load_report make_report(instant now);
+    /// Returns the report to forwarders of the own data centre, with at most
+    /// `max_servers` servers: those that responded since the last report, in
+    /// turn if there are more.
+    [[nodiscard]] forwarder_load_report make_report(std::size_t max_servers,
+                                                    instant now);
     /// Returns the report to a forwarder of another data centre, with the sums
-    /// over the own one.
+    /// over the own one and without servers.
     [[nodiscard]] forwarder_load_report make_data_centre_report(instant now);
+    /// Updates what busy_slots() derives from the reports. Call it whenever
+    /// reports are sent.
+    void update(instant now);
 
     // Results.
 
@@ -120,7 +116,55 @@
     [[nodiscard]] std::size_t recent_reporters(instant now) const;
 
 private:
+    using service_key = std::pair<std::string, data_centre_id>;
+
+    /// Load of one service at the servers of one data centre, as this forwarder
+    /// causes it.
+    struct own_load
+    {
+        own_load();
+
+        double requests_in_progress = 0; ///< Moving average.
+        internal::decaying_sum arrivals;
+        internal::decaying_sum urgent_arrivals;
+        internal::decaying_sum unanswered;
+        internal::decaying_sum responses;
+        /// Responses whose route has a latency target, and their ratios.
+        internal::decaying_sum rated_responses;
+        internal::decaying_sum latency_ratios;
+    };
+
+    /// What this forwarder has observed of a server since it last reported it.
+    struct own_samples
+    {
+        std::string name{};
+        std::uint32_t responses = 0;
+        duration response_time{}; ///< Sum.
+        std::uint32_t unanswered = 0;
+    };
+
+    /// Returns the own load of a service at the servers of a data centre.
+    own_load& load_at(std::string_view service, data_centre_id data_centre);
+    own_samples& samples_of(observed_server const& server);
+    /// Moves the samples of the next servers in turn into a report.
+    void add_server_loads(std::size_t max_servers,
+                          forwarder_load_report& report);
+    [[nodiscard]] std::vector<service_load> own_loads(instant now) const;
+    /// Returns the load that the forwarders of the own data centre cause.
+    [[nodiscard]] std::vector<service_load> local_sums(instant now) const;
+    /// Calls `visit(data_centre_id source, std::span<service_load const>)` with
+    /// the load that the callers of each data centre cause, the own one first.
+    template <class Visit>
+    void for_each_source(instant now, Visit const& visit) const;
+
     fleet_load_settings settings_;
+    std::size_t local_forwarders_ = 1;
+    std::uint64_t sequence_ = 0;
+    std::map<service_key, own_load> own_loads_{};
+    std::map<server_id, own_samples> own_samples_{};
+    server_id last_reported_{};
+    internal::report_store reports_{};
+    internal::server_samples samples_{};
 };
 
 } // namespace dotterelrouter
