Send reports of load, and place flows by them

Each forwarder that shares load observes its arrivals, responses, unanswered first packets and requests in progress, and sends a report every 500 ms to a few forwarders of its data centre and to one of another. Placement draws two servers by weighted rendezvous hashing, with slots times relative speed as weights, and takes the less busy one: forwarders with the same report draw different servers. Rounds of heartbeats favour the own data centre.

A datagram with a report starts with a byte of 0. Without it, forwarders of earlier versions decoded a report as the heartbeat of a restarted forwarder.

--- a/dotterelrouter/codec/internal/replication_codec.hpp
+++ b/dotterelrouter/codec/internal/replication_codec.hpp
@@ -15,6 +15,10 @@
 /// Maximum size of an encoded heartbeat, in bytes. It fits into one datagram.
 inline constexpr std::size_t max_heartbeat_size = 1200;
 
+/// Maximum size of an encoded report of load, in bytes. It fits into one
+/// datagram.
+inline constexpr std::size_t max_load_report_size = 1200;
+
 /// What a forwarder requests of another one's directory.
 struct changes_query
 {
@@ -49,6 +53,16 @@
 /// more than 24 hours is reduced to 24 hours.
 [[nodiscard]] std::optional<binding_message> decode_bindings(byte_view bytes);
 
+/// Encodes a report of load. Entries at the end, first of servers and then of
+/// services, are omitted as far as the result would exceed
+/// max_load_report_size. Numbers are rounded to hundredths.
+[[nodiscard]] std::string
+encode_load_report(forwarder_load_report const& report);
+/// Decodes a report of load. Returns nullopt if the bytes are malformed, a
+/// field is out of range, or they are another message.
+[[nodiscard]] std::optional<forwarder_load_report>
+decode_load_report(byte_view bytes);
+
 /// Encodes the query of an HTTP request for what a directory of this version
 /// lacks, such as after=90&era=2&routes=11&removed=1.
 [[nodiscard]] std::string encode_changes_query(changes_query const& query);
--- a/dotterelrouter/forwarder/flows.cpp
+++ b/dotterelrouter/forwarder/flows.cpp
@@ -89,6 +89,7 @@
     {
         reachability_.on_handshake_timeout(
             to_handshake_target(*server), now, out);
+        observe_unanswered(*server, now);
     }
 }
 
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -54,7 +54,8 @@
       peers_({.self = settings.heartbeat_endpoint,
               .data_centre = data_centre_,
               .incarnation = settings.incarnation,
-              .seeds = std::move(settings.seeds)}),
+              .seeds = std::move(settings.seeds),
+              .favours_own_data_centre = settings.load_sharing.has_value()}),
       reader_(settings.incarnation), reachability_(data_centre_),
       load_sharing_(settings.load_sharing),
       fleet_load_(
@@ -63,6 +64,10 @@
                  .flow_lifetime = settings.flow_lifetime}),
       is_first_start_(settings.is_first_start)
 {
+    if (load_sharing_)
+    {
+        flows_.track_work();
+    }
 }
 
 void forwarder::reduce(forwarder_event const& next_event,
@@ -257,6 +262,7 @@
     update_reader(now, out);
     request_changes_if_behind(now, out);
     report_freshness(now, out);
+    share_load(now, out);
     advance_shutdown(now, out);
 }
 
@@ -475,7 +481,8 @@
         freshness_.becomes_stale_at(peers_.staleness_timeout()),
         shutdown_started_at_
             ? std::optional{now.steady + shutdown_check_interval}
-            : std::nullopt};
+            : std::nullopt,
+        load_sharing_ ? std::optional{next_load_sample_at_} : std::nullopt};
     for (auto const& deadline : deadlines)
     {
         if (deadline && *deadline > now.steady)
@@ -510,7 +517,10 @@
             .revision = directory_.revision(),
             .directory_age = freshness_.age(now),
             .tracked_flows = flows_.size(),
-            .bindings = bindings_.size()};
+            .bindings = bindings_.size(),
+            .load_reporters =
+                load_sharing_ ? std::optional{fleet_load_.recent_reporters(now)}
+                              : std::nullopt};
 }
 
 } // namespace dotterelrouter
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -68,6 +68,9 @@
     std::size_t tracked_flows = 0;
     /// Number of bindings of flows that this forwarder holds.
     std::size_t bindings = 0;
+    /// Number of forwarders whose reports of load are recent. Empty if load is
+    /// not shared.
+    std::optional<std::size_t> load_reporters{};
 };
 
 /// Decides where each packet goes, and keeps the directory up to date.
@@ -104,6 +107,9 @@
     void on(bindings_received const& next_event,
             instant now,
             forwarder_effects& out);
+    void on(load_report_received const& next_event,
+            instant now,
+            forwarder_effects& out);
     void on(changes_requested const& next_event,
             instant now,
             forwarder_effects& out);
@@ -258,6 +264,9 @@
     choose_server(service const& target_service,
                   internal::placed_flow const& flow,
                   instant now) const;
+    /// Slots that requests keep busy at a server, as far as the open flows of
+    /// this forwarder and the reports of others tell.
+    [[nodiscard]] double busy_slots(server_id server, instant now) const;
     /// Returns the load of a service in each data centre, the own one first,
     /// with the slots that its servers offer to new flows of this forwarder.
     /// Linear in the number of servers.
@@ -303,6 +312,22 @@
                           instant now,
                           forwarder_effects& out);
 
+    // Shared load. These do nothing if load is not shared.
+    void observe_arrival(route const& flow_route, flow_key flow, instant now);
+    void observe_unanswered(server_entry const& server, instant now);
+    void observe_response(internal::placed_flow const& flow,
+                          server_entry const& server,
+                          duration response_time,
+                          instant now);
+    /// Whether no other route to a service is more urgent.
+    [[nodiscard]] bool is_most_urgent(std::string_view service,
+                                      std::uint8_t urgency) const;
+    /// Samples the requests in progress, and sends reports of load, as far as
+    /// they are due.
+    void share_load(instant now, forwarder_effects& out);
+    void sample_load(instant now);
+    void send_load_reports(instant now, forwarder_effects& out);
+
     // Directory updates.
     void apply_update(directory_update const& update,
                       instant now,
@@ -347,6 +372,8 @@
     load_shedder load_shedder_;
     std::optional<load_sharing_settings> load_sharing_;
     fleet_load fleet_load_;
+    steady_time next_load_sample_at_{};
+    steady_time next_load_report_at_{};
     internal::flow_table flows_;
     binding_table bindings_;
     /// Version of the peers that were passed to `bindings_`.
--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -6,6 +6,7 @@
 #include "dotterelrouter/bindings/bindings.hpp"
 #include "dotterelrouter/directory/directory.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
+#include "dotterelrouter/routing/routing.hpp"
 
 #include <algorithm>
 #include <array>
@@ -55,6 +56,8 @@
     bool opened = false;  ///< The caller acknowledged a server's handshake.
     bool closed = false;  ///< The caller closed or aborted the flow.
     bool in_load = false; ///< The flow counts in its server's load.
+    bool in_work = false; ///< The flow counts in its server's expected work.
+    kind_id kind{};       ///< Kind of its requests: the index of its route.
     bool opening_logged = false;      ///< `decision::flow_opened` was logged.
     std::uint32_t load_at_choice = 0; ///< Load of the server when chosen.
     std::uint64_t routes_version = 0; ///< Version used to choose the server.
@@ -131,6 +134,7 @@
         if (auto* const flow = find(key))
         {
             remove_from_load(*flow);
+            remove_from_work(*flow);
             flows_.erase(key);
         }
     }
@@ -154,12 +158,28 @@
         }
     }
 
-    /// Assigns a flow to a server, and counts it in that server's load.
+    /// Removes a flow from the expected work of its server, if it is counted.
+    void remove_from_work(placed_flow& flow)
+    {
+        if (std::exchange(flow.in_work, false))
+        {
+            work_.on_flow_ended(flow.server, flow.kind);
+        }
+    }
+
+    /// Assigns a flow to a server, and counts it in that server's load and
+    /// expected work.
     void assign(placed_flow& flow, server_id server)
     {
         remove_from_load(flow);
+        remove_from_work(flow);
         flow.server = server;
         add_to_load(flow);
+        if (tracks_work_)
+        {
+            flow.in_work = true;
+            work_.on_flow_opened(server, flow.kind);
+        }
     }
 
     /// Moves a flow to another server, and its load if it is counted.
@@ -180,6 +200,40 @@
         return found == loads_.end() ? 0 : found->second;
     }
 
+    /// Starts to track the expected work of flows. Call it before any flow is
+    /// added.
+    void track_work()
+    {
+        tracks_work_ = true;
+    }
+
+    /// Records the time that a request of a flow took.
+    void on_response(placed_flow const& flow, duration time, steady_time now)
+    {
+        if (tracks_work_)
+        {
+            work_.on_request_finished(flow.kind, time, now);
+        }
+    }
+
+    /// Number of slots of a server that open flows of this forwarder keep busy
+    /// on average, as far as requests of their kinds tell. 0 if it is not
+    /// tracked.
+    [[nodiscard]] double expected_work(server_id server) const
+    {
+        return work_.expected_load(server);
+    }
+
+    /// Calls `visit(server_id, std::uint32_t load)` for each server with load.
+    template <class Visit>
+    void for_each_load(Visit visit) const
+    {
+        for (auto const& [server, load] : loads_)
+        {
+            visit(server, load);
+        }
+    }
+
     /// Calls `visit(placed_flow const&)` for each flow.
     template <class Visit>
     void for_each(Visit visit) const
@@ -238,6 +292,8 @@
 
     std::unordered_map<flow_key, placed_flow> flows_;
     std::unordered_map<server_id, std::uint32_t> loads_;
+    flow_work_estimator work_;
+    bool tracks_work_ = false;
     std::priority_queue<timer_entry, std::vector<timer_entry>, std::greater<>>
         timers_;
 };
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -26,6 +26,12 @@
 /// server responds to an open flow.
 constexpr duration min_long_pause = std::chrono::seconds{1};
 
+/// Returns the kind of the flows of a route: its index.
+kind_id kind_of(route const& flow_route, std::span<route const> routes)
+{
+    return {static_cast<std::uint16_t>(&flow_route - routes.data())};
+}
+
 /// Returns the token for later packets of a flow that is open at a server. If
 /// the server has none of its own, it is an opening token, by which other
 /// forwarders ask where the flow is open.
@@ -132,6 +138,10 @@
     {
         return;
     }
+    if (is_new)
+    {
+        observe_arrival(*flow_route, packet.flow, now);
+    }
     if (flow == nullptr && !should_admit(*flow_route, packet.flow))
     {
         refuse_packet(packet, "service overloaded", now, out);
@@ -180,6 +190,7 @@
     flow.first_seen = now.steady;
     flow.request_timeout = flow_route.timeout;
     flow.target_latency = flow_route.target_latency;
+    flow.kind = kind_of(flow_route, directory_.routes());
     return flow;
 }
 
@@ -254,9 +265,11 @@
         auto const* const server = directory_.find_server(flow.server);
         if (server != nullptr && can_measure_response(flow, packet))
         {
-            load_shedder_.on_response(server->record.service,
-                                      now.steady - *flow.requested_at,
-                                      flow.target_latency);
+            auto const response_time =
+                duration{now.steady - *flow.requested_at};
+            load_shedder_.on_response(
+                server->record.service, response_time, flow.target_latency);
+            observe_response(flow, *server, response_time, now);
         }
         flow.requested_at.reset();
         flow.reused |= packet.data_size > 0;
@@ -306,6 +319,7 @@
     if (packet.type == packet_type::close || packet.type == packet_type::abort)
     {
         flows_.remove_from_load(flow);
+        flows_.remove_from_work(flow);
         flow.closed = true;
         flows_.schedule(flow.key, now.steady + closed_flow_ttl);
     }
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -22,6 +22,10 @@
 /// server with a current one.
 constexpr double expired_server_weight = 0.5;
 
+/// Number of attempts of a flow that stay in the forwarder's own data centre
+/// where load is shared, if any server there can be used.
+constexpr std::size_t max_local_attempts = 2;
+
 /// Adapts three callables to the view of a service's servers that
 /// `select_server` takes.
 template <class Usable, class Load, class Weight>
@@ -153,18 +157,45 @@
     {
         return weight_of(*directory_.find_server(server), now);
     };
+    auto const capacity = [&](server_id server)
+    {
+        return weight(server) * directory_.find_server(server)->record.slots *
+               fleet_load_.relative_speed(server, now);
+    };
+    auto const utilisation = [&](server_id server)
+    {
+        return busy_slots(server, now) / capacity(server);
+    };
     auto const choose_among = [&](auto is_usable)
     {
+        if (load_sharing_)
+        {
+            return select_by_utilisation(
+                target_service,
+                flow.key,
+                candidate_servers(is_usable, utilisation, capacity));
+        }
         return select_server(target_service,
                              flow.key,
                              flow_length::single_request,
                              candidate_servers(is_usable, load, weight));
     };
-    auto choice = choose_among(
-        [&](server_id server)
-        {
-            return is_unattempted(server) && is_reachable(server);
-        });
+    auto const is_candidate = [&](server_id server)
+    {
+        return is_unattempted(server) && is_reachable(server);
+    };
+    std::optional<placement> choice;
+    if (load_sharing_ && flow.attempts < max_local_attempts)
+    {
+        choice = choose_among(
+            [&](server_id server)
+            {
+                return is_candidate(server) &&
+                       directory_.find_server(server)->record.data_centre ==
+                           data_centre_;
+            });
+    }
+    choice = choice ? choice : choose_among(is_candidate);
     choice = choice ? choice : choose_among(is_unattempted);
     choice = choice ? choice : choose_among(has_token);
     return choice ? std::optional{choice->server} : std::nullopt;
--- a/dotterelrouter/forwarding/internal/effects.hpp
+++ b/dotterelrouter/forwarding/internal/effects.hpp
@@ -2,6 +2,7 @@
 // runtime carries out. Include "dotterelrouter/forwarding/forwarding.hpp".
 #pragma once
 
+#include "dotterelrouter/forwarding/internal/load.hpp"
 #include "dotterelrouter/forwarding/internal/messages.hpp"
 #include "dotterelrouter/forwarding/internal/packets.hpp"
 #include "dotterelrouter/forwarding/internal/records.hpp"
@@ -61,6 +62,13 @@
     binding_message message{};
 };
 
+/// Sends a report of load to another forwarder. It may be lost.
+struct send_load_report
+{
+    endpoint destination{}; ///< Where the receiver takes heartbeats.
+    std::shared_ptr<forwarder_load_report const> report{};
+};
+
 /// Requests what this forwarder's directory lacks from another forwarder. Ends
 /// in `peer_changes_received` or `peer_changes_failed`.
 struct request_changes
@@ -217,6 +225,7 @@
                                       watch_changes,
                                       send_heartbeat,
                                       send_bindings,
+                                      send_load_report,
                                       request_changes,
                                       send_changes,
                                       set_readiness,
--- a/dotterelrouter/forwarding/internal/events.hpp
+++ b/dotterelrouter/forwarding/internal/events.hpp
@@ -2,6 +2,7 @@
 // "dotterelrouter/forwarding/forwarding.hpp".
 #pragma once
 
+#include "dotterelrouter/forwarding/internal/load.hpp"
 #include "dotterelrouter/forwarding/internal/messages.hpp"
 #include "dotterelrouter/forwarding/internal/packets.hpp"
 #include "dotterelrouter/forwarding/internal/records.hpp"
@@ -73,6 +74,13 @@
     binding_message message{};
 };
 
+/// A report of load was received from another forwarder.
+struct load_report_received
+{
+    endpoint from{}; ///< Where the sender takes heartbeats.
+    forwarder_load_report report{};
+};
+
 /// Another forwarder requested what its directory lacks.
 struct changes_requested
 {
@@ -111,6 +119,7 @@
                                      store_read_failed,
                                      heartbeat_received,
                                      bindings_received,
+                                     load_report_received,
                                      changes_requested,
                                      peer_changes_received,
                                      peer_changes_failed,
--- a/dotterelrouter/replication/internal/peers.hpp
+++ b/dotterelrouter/replication/internal/peers.hpp
@@ -5,6 +5,7 @@
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <vector>
@@ -24,6 +25,16 @@
     data_centre_id data_centre{};
     std::uint64_t incarnation = 0;
     std::vector<endpoint> seeds{}; ///< May contain `self`.
+    /// Whether rounds of heartbeats favour the own data centre in fleets of
+    /// more than 16 peers, since most of the traffic would leave it otherwise.
+    bool favours_own_data_centre = false;
+};
+
+/// Peers to which a forwarder sends its next report of load.
+struct load_report_receivers
+{
+    std::vector<endpoint> local{};    ///< In the own data centre.
+    std::optional<endpoint> remote{}; ///< In another one.
 };
 
 /// State of another forwarder, as of its last heartbeat.
@@ -120,6 +131,17 @@
     /// Returns a live peer, preferably one in this forwarder's data centre.
     [[nodiscard]] std::optional<endpoint> any_live_peer() const;
 
+    /// Returns the receivers of the next report of load: live peers in turn.
+    /// All forwarders of a data centre together reach each one of the others
+    /// within a few rounds.
+    [[nodiscard]] load_report_receivers next_load_report_receivers();
+
+    /// Number of live forwarders in the own data centre, this one included.
+    [[nodiscard]] std::size_t local_live_count() const;
+
+    /// Whether the fleet is so large that control traffic has to be reduced.
+    [[nodiscard]] bool is_fleet_large() const;
+
     /// Returns the live peers that are not shutting down, by address.
     [[nodiscard]] std::vector<live_forwarder> live_forwarders() const;
 
@@ -147,10 +169,35 @@
 private:
     /// Number of live forwarders, this one included.
     [[nodiscard]] std::size_t live_count() const;
+
+    /// Peers that take turns as receivers of heartbeats.
+    struct rotation
+    {
+        std::vector<endpoint> members{}; ///< By address.
+        std::size_t round_size = 0; ///< Maximum number of them in one round.
+    };
+
     /// Maximum number of peers in one round of heartbeats, apart from seeds.
     [[nodiscard]] std::size_t fanout() const;
-    /// Time without a heartbeat after which a peer is not live.
-    [[nodiscard]] duration liveness_timeout() const;
+    /// Time without a heartbeat after which a peer in a rotation of this many
+    /// members is not live.
+    [[nodiscard]] static duration liveness_timeout(std::size_t members,
+                                                   std::size_t round_size);
+    /// Whether rounds favour the own data centre now.
+    [[nodiscard]] bool has_two_rotations() const;
+    /// Whether a peer is in the rotation of the own data centre, which also has
+    /// those of an unknown one.
+    [[nodiscard]] bool is_local(peer const& state) const;
+    /// Returns the peers of the own data centre, or all others.
+    [[nodiscard]] rotation make_rotation(bool is_local_rotation) const;
+    /// Number of forwarders of the own data centre with a lower address.
+    [[nodiscard]] std::size_t local_position() const;
+    void send_heartbeats_in_one_rotation(
+        std::shared_ptr<heartbeat const> const& message,
+        forwarder_effects& out) const;
+    void send_heartbeats_in_two_rotations(
+        std::shared_ptr<heartbeat const> const& message,
+        forwarder_effects& out) const;
     /// True if a peer is able to read the store and has a lower rank than this
     /// forwarder.
     [[nodiscard]] bool precedes_as_reader(endpoint address,
@@ -175,7 +222,8 @@
     std::map<endpoint, peer> peers_{};
     std::vector<pending_request> pending_requests_{};
     steady_time next_heartbeat_at_{};
-    std::uint64_t heartbeat_rounds_ = 0; ///< Sent so far.
+    std::uint64_t heartbeat_rounds_ = 0;   ///< Sent so far.
+    std::uint64_t load_report_rounds_ = 0; ///< Sent so far.
     std::uint64_t live_forwarders_version_ = 0;
     /// Number of peers for which `precedes_as_reader` holds.
     std::size_t preceding_readers_ = 0;
--- a/dotterelrouter/replication/peers.cpp
+++ b/dotterelrouter/replication/peers.cpp
@@ -28,6 +28,22 @@
 constexpr std::size_t large_fleet_fanout = 8;
 /// Number of known peers from which a fleet is large.
 constexpr std::size_t min_large_fleet_peers = 128;
+
+/// Same, where rounds favour the own data centre. The forwarders of a data
+/// centre then reach each forwarder elsewhere in turn, so that each data centre
+/// is heard well within min_liveness_timeout.
+struct split_fanout
+{
+    std::size_t local;
+    std::size_t remote;
+};
+
+constexpr split_fanout small_fleet_split{8, 4};
+constexpr split_fanout large_fleet_split{3, 2};
+/// Numbers of forwarders of the own data centre and of others that get one
+/// report of load.
+constexpr std::size_t small_fleet_report_fanout = 4;
+constexpr std::size_t large_fleet_report_fanout = 2;
 /// Maximum number of peers whose addresses one heartbeat contains.
 constexpr std::size_t max_heartbeat_ips = 8;
 /// Number of forwarders that watch the store at a time, if all of them have
@@ -140,9 +156,15 @@
 
 void peers::remove_silent_peers(instant now, forwarder_effects& out)
 {
-    auto const timeout = liveness_timeout();
+    auto const local = make_rotation(true);
+    auto const remote = make_rotation(false);
+    auto const local_timeout =
+        liveness_timeout(local.members.size(), local.round_size);
+    auto const remote_timeout =
+        liveness_timeout(remote.members.size(), remote.round_size);
     for (auto& [address, state] : peers_)
     {
+        auto const timeout = is_local(state) ? local_timeout : remote_timeout;
         if (state.live && now.steady - *state.last_heard_at > timeout)
         {
             preceding_readers_ -= precedes_as_reader(address, state) ? 1 : 0;
@@ -203,10 +225,24 @@
     remove_silent_peers(now, out);
     staleness_timeout_ = current_staleness_timeout();
     ++heartbeat_rounds_;
-    auto const round_size = fanout();
     message.known_forwarder_ips = sample_live_ips();
     auto const shared_message =
         std::make_shared<heartbeat const>(std::move(message));
+    if (has_two_rotations())
+    {
+        send_heartbeats_in_two_rotations(shared_message, out);
+    }
+    else
+    {
+        send_heartbeats_in_one_rotation(shared_message, out);
+    }
+}
+
+void peers::send_heartbeats_in_one_rotation(
+    std::shared_ptr<heartbeat const> const& message,
+    forwarder_effects& out) const
+{
+    auto const round_size = fanout();
     std::size_t index = 0;
     // Forwarders begin their turns at different peers, so that each peer hears
     // from some forwarder in every interval.
@@ -222,11 +258,129 @@
             offset < round_size || (!state.last_heard_at && is_seed(address));
         if (due)
         {
-            out.push_back(send_heartbeat{address, shared_message});
+            out.push_back(send_heartbeat{address, message});
         }
     }
 }
 
+void peers::send_heartbeats_in_two_rotations(
+    std::shared_ptr<heartbeat const> const& message,
+    forwarder_effects& out) const
+{
+    auto const position = local_position();
+    auto const local_count = make_rotation(true).members.size() + 1;
+    std::vector<endpoint> receivers;
+    for (auto const is_local_rotation : {true, false})
+    {
+        auto const [members, round_size] = make_rotation(is_local_rotation);
+        auto const stride =
+            is_local_rotation ? round_size : local_count * round_size;
+        auto const start =
+            (is_local_rotation ? position : position * round_size) +
+            heartbeat_rounds_ * stride;
+        for (std::size_t i = 0; i < std::min(round_size, members.size()); ++i)
+        {
+            receivers.push_back(members[(start + i) % members.size()]);
+        }
+    }
+    for (auto const& [address, state] : peers_)
+    {
+        auto const is_silent_seed = !state.last_heard_at && is_seed(address);
+        if (is_silent_seed && std::ranges::count(receivers, address) == 0)
+        {
+            receivers.push_back(address);
+        }
+    }
+    for (auto const receiver : receivers)
+    {
+        out.push_back(send_heartbeat{receiver, message});
+    }
+}
+
+load_report_receivers peers::next_load_report_receivers()
+{
+    std::vector<endpoint> local;
+    std::vector<endpoint> remote;
+    for (auto const& [address, state] : peers_)
+    {
+        if (state.live)
+        {
+            auto const is_own = state.data_centre == settings_.data_centre;
+            (is_own ? local : remote).push_back(address);
+        }
+    }
+    auto const position = static_cast<std::size_t>(
+        std::ranges::lower_bound(local, settings_.self) - local.begin());
+    auto const round = load_report_rounds_++;
+    auto const fanout = is_fleet_large() ? large_fleet_report_fanout
+                                         : small_fleet_report_fanout;
+    load_report_receivers receivers;
+    for (std::size_t i = 0; i < std::min(fanout, local.size()); ++i)
+    {
+        receivers.local.push_back(
+            local[(position + round * fanout + i) % local.size()]);
+    }
+    if (!remote.empty())
+    {
+        receivers.remote =
+            remote[(position + round * (local.size() + 1)) % remote.size()];
+    }
+    return receivers;
+}
+
+std::size_t peers::local_live_count() const
+{
+    return 1 + static_cast<std::size_t>(std::ranges::count_if(
+                   peers_,
+                   [&](auto const& entry)
+                   {
+                       return entry.second.live &&
+                              entry.second.data_centre == settings_.data_centre;
+                   }));
+}
+
+bool peers::is_fleet_large() const
+{
+    return peers_.size() >= min_large_fleet_peers;
+}
+
+bool peers::has_two_rotations() const
+{
+    return settings_.favours_own_data_centre &&
+           peers_.size() > small_fleet_fanout;
+}
+
+bool peers::is_local(peer const& state) const
+{
+    return !has_two_rotations() || !state.last_heard_at ||
+           state.data_centre == settings_.data_centre;
+}
+
+peers::rotation peers::make_rotation(bool is_local_rotation) const
+{
+    auto const& split =
+        is_fleet_large() ? large_fleet_split : small_fleet_split;
+    rotation result;
+    result.round_size = !has_two_rotations() ? fanout()
+                        : is_local_rotation  ? split.local
+                                             : split.remote;
+    for (auto const& [address, state] : peers_)
+    {
+        if (is_local(state) == is_local_rotation)
+        {
+            result.members.push_back(address);
+        }
+    }
+    return result;
+}
+
+std::size_t peers::local_position() const
+{
+    auto const members = make_rotation(true).members;
+    return static_cast<std::size_t>(
+        std::ranges::lower_bound(members, settings_.self) - members.begin());
+}
+
 void peers::send_heartbeats_now(heartbeat message,
                                 instant now,
                                 forwarder_effects& out)
@@ -247,19 +401,27 @@
 
 std::size_t peers::fanout() const
 {
-    return peers_.size() < min_large_fleet_peers ? small_fleet_fanout
-                                                 : large_fleet_fanout;
+    if (has_two_rotations())
+    {
+        auto const& split =
+            is_fleet_large() ? large_fleet_split : small_fleet_split;
+        return split.local + split.remote;
+    }
+    return is_fleet_large() ? large_fleet_fanout : small_fleet_fanout;
 }
 
-duration peers::liveness_timeout() const
+duration peers::liveness_timeout(std::size_t members, std::size_t round_size)
 {
-    auto const round_size = fanout();
-    auto const rounds_per_rotation =
-        (peers_.size() + round_size - 1) / round_size;
-    return rounds_per_rotation <= 1
-               ? min_liveness_timeout
-               : max_missed_heartbeats * static_cast<int>(rounds_per_rotation) *
-                     heartbeat_interval;
+    auto const rounds_per_rotation = (members + round_size - 1) / round_size;
+    if (rounds_per_rotation <= 1)
+    {
+        return min_liveness_timeout;
+    }
+    // A peer that is still live must not be removed.
+    return std::min<duration>(peer_ttl,
+                              max_missed_heartbeats *
+                                  static_cast<int>(rounds_per_rotation) *
+                                  heartbeat_interval);
 }
 
 bool peers::precedes_as_reader(endpoint address, peer const& state) const
--- a/dotterelrouter/routing/internal/choice.hpp
+++ b/dotterelrouter/routing/internal/choice.hpp
@@ -216,4 +216,63 @@
     return placement{*chosen, chosen != successor_choice(target_service, flow)};
 }
 
+namespace internal
+{
+
+/// Returns the server of highest rank for a hash, by weighted rendezvous
+/// hashing with the weights of the servers. Returns nullopt if none can be
+/// used.
+template <server_loads Loads>
+std::optional<server_id> highest_weighted_rank(service const& target_service,
+                                               std::uint64_t hash,
+                                               Loads const& loads)
+{
+    std::optional<server_id> best;
+    double best_rank = 0;
+    for (auto const& server : target_service.all_servers())
+    {
+        if (server.draining || !loads.is_usable(server.id))
+        {
+            continue;
+        }
+        auto const rank = rendezvous_rank(hash, server) * server.slots /
+                          loads.weight(server.id);
+        if (!best || rank > best_rank)
+        {
+            best = server.id;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+} // namespace internal
+
+/// Chooses the server of a new flow by loads that many members share and that
+/// are seconds old. Here weight() is the server's capacity, which must be above
+/// 0. Two candidates are drawn by weighted rendezvous hashing, so that each
+/// server gets flows in proportion to its capacity, and the less loaded one is
+/// chosen. As the candidates differ between flows, members don't all choose the
+/// server that was last reported free. Returns nullopt if no server is both
+/// usable and not draining. Linear in the number of servers, without
+/// allocation.
+template <server_loads Loads>
+std::optional<placement> select_by_utilisation(service const& target_service,
+                                               flow_key flow,
+                                               Loads const& loads)
+{
+    auto const hash = hash_of(flow);
+    auto const first =
+        internal::highest_weighted_rank(target_service, hash, loads);
+    if (!first)
+    {
+        return std::nullopt;
+    }
+    auto const second =
+        internal::highest_weighted_rank(target_service, mix(~hash), loads);
+    auto const chosen =
+        loads.load(*second) < loads.load(*first) ? *second : *first;
+    return placement{chosen, chosen != successor_choice(target_service, flow)};
+}
+
 } // namespace dotterelrouter
--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -114,6 +114,11 @@
         if (auto message = decode_heartbeat(received.bytes))
         {
             deliver(heartbeat_received{received.from, std::move(*message)});
+            return;
+        }
+        if (auto report = decode_load_report(received.bytes))
+        {
+            deliver(load_report_received{received.from, std::move(*report)});
         }
     }
 
@@ -188,6 +193,14 @@
             std::as_bytes(std::span{bytes.data(), bytes.size()}));
     }
 
+    void execute(send_load_report const& requested_effect)
+    {
+        auto const bytes = encode_load_report(*requested_effect.report);
+        heartbeat_port_.send(
+            requested_effect.destination,
+            std::as_bytes(std::span{bytes.data(), bytes.size()}));
+    }
+
     void execute(request_changes const& requested_effect);
 
     void execute(send_changes const& requested_effect)
@@ -449,6 +462,7 @@
              .directory_age_seconds = directory_age.count(),
              .tracked_flows = gauges.tracked_flows,
              .bindings = gauges.bindings,
+             .load_reporters = gauges.load_reporters,
              .datagrams_dropped = statistics.dropped_full +
                                   statistics.dropped_oversized +
                                   statistics.send_errors,
--- a/dotterelrouter/telemetry/forwarder_metrics.cpp
+++ b/dotterelrouter/telemetry/forwarder_metrics.cpp
@@ -147,6 +147,12 @@
               static_cast<double>(samples.directory_revision.era));
     add_gauge(families, "flows", static_cast<double>(samples.tracked_flows));
     add_gauge(families, "bindings", static_cast<double>(samples.bindings));
+    if (samples.load_reporters)
+    {
+        add_gauge(families,
+                  "load_reporters",
+                  static_cast<double>(*samples.load_reporters));
+    }
     add_gauge(families, "directory_age_seconds", samples.directory_age_seconds);
     auto& histogram = add_family(families,
                                  "handshake_duration_seconds",
--- a/dotterelrouter/telemetry/internal/forwarder_metrics.hpp
+++ b/dotterelrouter/telemetry/internal/forwarder_metrics.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace dotterelrouter
@@ -28,6 +29,10 @@
 
     std::size_t bindings = 0; ///< Bindings of flows that are held.
 
+    /// Forwarders whose reports of load are recent; empty if load is not
+    /// shared.
+    std::optional<std::size_t> load_reporters{};
+
     /// Datagrams that were oversized, found a full buffer or failed to be sent.
     std::uint64_t datagrams_dropped = 0;
 
--- a/testing/forwarding/fleet.hpp
+++ b/testing/forwarding/fleet.hpp
@@ -207,6 +207,7 @@
     void execute(std::size_t index, watch_changes const& requested_effect);
     void execute(std::size_t index, send_heartbeat const& requested_effect);
     void execute(std::size_t index, send_bindings const& requested_effect);
+    void execute(std::size_t index, send_load_report const& requested_effect);
     void execute(std::size_t index, request_changes const& requested_effect);
     void execute(std::size_t index, send_changes const& requested_effect);
     void execute(std::size_t index, set_timer const& requested_effect);
--- a/testing/forwarding/fleet_nodes.cpp
+++ b/testing/forwarding/fleet_nodes.cpp
@@ -120,6 +120,19 @@
     }
 }
 
+void forwarder_fleet_simulation::execute(
+    std::size_t index, send_load_report const& requested_effect)
+{
+    auto const receiver = forwarder_at(requested_effect.destination);
+    if (receiver && !is_link_cut(index, *receiver))
+    {
+        schedule_delivery(*receiver,
+                          peer_delay,
+                          load_report_received{forwarders_[index].address,
+                                               *requested_effect.report});
+    }
+}
+
 void forwarder_fleet_simulation::execute(
     std::size_t index, request_changes const& requested_effect)
 {
--- a/testing/forwarding/forwarder_group.cpp
+++ b/testing/forwarding/forwarder_group.cpp
@@ -308,6 +308,15 @@
          bindings_received{members_[index].address, requested_effect.message});
 }
 
+void forwarder_group::execute(std::size_t index,
+                              send_load_report const& requested_effect)
+{
+    post(index,
+         requested_effect.destination,
+         load_report_received{members_[index].address,
+                              *requested_effect.report});
+}
+
 void forwarder_group::execute(std::size_t index,
                               read_snapshot const& /*requested_effect*/)
 {
