--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -190,9 +190,9 @@
         choice = choose_among(
             [&](server_id server)
             {
-                return is_candidate(server) &&
-                       directory_.find_server(server)->record.data_centre ==
-                           data_centre_;
+                return directory_.find_server(server)->record.data_centre ==
+                           data_centre_ &&
+                       is_candidate(server);
             });
     }
     choice = choice ? choice : choose_among(is_candidate);
--- a/dotterelrouter/routing/internal/choice.hpp
+++ b/dotterelrouter/routing/internal/choice.hpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <concepts>
 #include <optional>
+#include <utility>
 
 namespace dotterelrouter
 {
@@ -219,31 +220,45 @@
 namespace internal
 {
 
-/// Returns the server of highest rank for a hash, by weighted rendezvous
-/// hashing with the weights of the servers. Returns nullopt if none can be
-/// used.
+/// Returns the servers of highest rank for two hashes, by weighted rendezvous
+/// hashing with the weights of the servers; they may be the same one. Returns
+/// nullopt if none can be used.
 template <server_loads Loads>
-std::optional<server_id> highest_weighted_rank(service const& target_service,
-                                               std::uint64_t hash,
-                                               Loads const& loads)
+std::optional<std::pair<server_id, server_id>>
+draw_two(service const& target_service,
+         std::pair<std::uint64_t, std::uint64_t> hashes,
+         Loads const& loads)
 {
-    std::optional<server_id> best;
-    double best_rank = 0;
+    std::optional<std::pair<server_id, server_id>> drawn;
+    double first_rank = 0;
+    double second_rank = 0;
     for (auto const& server : target_service.all_servers())
     {
         if (server.draining || !loads.is_usable(server.id))
         {
             continue;
         }
-        auto const rank = rendezvous_rank(hash, server) * server.slots /
-                          loads.weight(server.id);
-        if (!best || rank > best_rank)
+        auto const scale = server.slots / loads.weight(server.id);
+        auto const rank = scale * rendezvous_rank(hashes.first, server);
+        auto const other_rank = scale * rendezvous_rank(hashes.second, server);
+        if (!drawn)
         {
-            best = server.id;
-            best_rank = rank;
+            drawn = {server.id, server.id};
+            first_rank = rank;
+            second_rank = other_rank;
+        }
+        if (rank > first_rank)
+        {
+            drawn->first = server.id;
+            first_rank = rank;
+        }
+        if (other_rank > second_rank)
+        {
+            drawn->second = server.id;
+            second_rank = other_rank;
         }
     }
-    return best;
+    return drawn;
 }
 
 } // namespace internal
@@ -262,16 +277,15 @@
                                                Loads const& loads)
 {
     auto const hash = hash_of(flow);
-    auto const first =
-        internal::highest_weighted_rank(target_service, hash, loads);
-    if (!first)
+    auto const drawn =
+        internal::draw_two(target_service, {hash, mix(~hash)}, loads);
+    if (!drawn)
     {
         return std::nullopt;
     }
-    auto const second =
-        internal::highest_weighted_rank(target_service, mix(~hash), loads);
-    auto const chosen =
-        loads.load(*second) < loads.load(*first) ? *second : *first;
+    auto const chosen = loads.load(drawn->second) < loads.load(drawn->first)
+                            ? drawn->second
+                            : drawn->first;
     return placement{chosen, chosen != successor_choice(target_service, flow)};
 }
 
