Bound the control traffic of forwarders that share load

Cause: with a stride that shares a factor with the number of turns, a forwarder sent heartbeats to the same few peers of other data centres only; in a fleet of 75 its peers counted as lost after 10 s. Change: the stride has no common factor with the number of turns. Each data centre is heard everywhere within 0.9 s and reported within 3 s in fleets of 24, 75, 91 and 540. replication_test: 24 tests pass.

--- a/dotterelrouter/replication/peers.cpp
+++ b/dotterelrouter/replication/peers.cpp
@@ -1,6 +1,7 @@
 #include "dotterelrouter/replication/internal/peers.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace dotterelrouter
@@ -63,6 +64,48 @@
 /// Maximum number of these intervals that a forwarder waits.
 constexpr std::size_t max_stale_read_intervals = 8;
 
+/// Number of turns in which a rotation reaches all of its members.
+std::size_t turns_of(std::size_t members, std::size_t round_size)
+{
+    return (members + round_size - 1) / round_size;
+}
+
+/// Appends the members whose turn it is. Each one is appended in one of
+/// turns_of() successive turns, the first ones also in the last turn if it is
+/// not full otherwise.
+void append_turn(std::span<endpoint const> members,
+                 std::size_t round_size,
+                 std::size_t turn,
+                 std::vector<endpoint>& out)
+{
+    if (members.empty())
+    {
+        return;
+    }
+    auto const start = turn % turns_of(members.size(), round_size) * round_size;
+    for (std::size_t i = 0; i < std::min(round_size, members.size()); ++i)
+    {
+        out.push_back(members[(start + i) % members.size()]);
+    }
+}
+
+/// Number of turns by which each of several senders advances in a round, where
+/// they begin one turn apart. In each round they cover successive turns, and
+/// each sender reaches all turns in time since the two numbers have no common
+/// factor.
+std::size_t shared_stride(std::size_t senders, std::size_t turns)
+{
+    if (senders >= turns)
+    {
+        return 1;
+    }
+    while (std::gcd(senders, turns) != 1)
+    {
+        --senders;
+    }
+    return senders;
+}
+
 /// Pseudo-random rank of a forwarder. Every forwarder computes the same one.
 std::uint64_t rank_of(endpoint address)
 {
@@ -268,21 +311,21 @@
     forwarder_effects& out) const
 {
     auto const position = local_position();
-    auto const local_count = make_rotation(true).members.size() + 1;
+    auto const local = make_rotation(true);
+    auto const remote = make_rotation(false);
     std::vector<endpoint> receivers;
-    for (auto const is_local_rotation : {true, false})
-    {
-        auto const [members, round_size] = make_rotation(is_local_rotation);
-        auto const stride =
-            is_local_rotation ? round_size : local_count * round_size;
-        auto const start =
-            (is_local_rotation ? position : position * round_size) +
-            heartbeat_rounds_ * stride;
-        for (std::size_t i = 0; i < std::min(round_size, members.size()); ++i)
-        {
-            receivers.push_back(members[(start + i) % members.size()]);
-        }
-    }
+    append_turn(local.members,
+                local.round_size,
+                position / std::max<std::size_t>(local.round_size, 1) +
+                    heartbeat_rounds_,
+                receivers);
+    append_turn(remote.members,
+                remote.round_size,
+                position + heartbeat_rounds_ *
+                               shared_stride(local.members.size() + 1,
+                                             turns_of(remote.members.size(),
+                                                      remote.round_size)),
+                receivers);
     for (auto const& [address, state] : peers_)
     {
         auto const is_silent_seed = !state.last_heard_at && is_seed(address);
@@ -315,15 +358,11 @@
     auto const fanout = is_fleet_large() ? large_fleet_report_fanout
                                          : small_fleet_report_fanout;
     load_report_receivers receivers;
-    for (std::size_t i = 0; i < std::min(fanout, local.size()); ++i)
-    {
-        receivers.local.push_back(
-            local[(position + round * fanout + i) % local.size()]);
-    }
+    append_turn(local, fanout, position / fanout + round, receivers.local);
     if (!remote.empty())
     {
-        receivers.remote =
-            remote[(position + round * (local.size() + 1)) % remote.size()];
+        auto const stride = shared_stride(local.size() + 1, remote.size());
+        receivers.remote = remote[(position + round * stride) % remote.size()];
     }
     return receivers;
 }
@@ -412,7 +451,7 @@
 
 duration peers::liveness_timeout(std::size_t members, std::size_t round_size)
 {
-    auto const rounds_per_rotation = (members + round_size - 1) / round_size;
+    auto const rounds_per_rotation = turns_of(members, round_size);
     if (rounds_per_rotation <= 1)
     {
         return min_liveness_timeout;
