--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -128,6 +128,9 @@
                                                   placed_flow const& flow,
                                                   instant now) const
 {
+    // Without recent reports, as after a partition, the own load decides alone.
+    auto const uses_shared_load =
+        load_sharing_ && fleet_load_.recent_reporters(now) > 0;
     auto const is_suspicion_ignored =
         is_majority_suspected(target_service, now);
     auto const has_token = [&](server_id server)
@@ -168,7 +171,7 @@
     };
     auto const choose_among = [&](auto is_usable)
     {
-        if (load_sharing_)
+        if (uses_shared_load)
         {
             return select_by_utilisation(
                 target_service,
@@ -185,7 +188,7 @@
         return is_unattempted(server) && is_reachable(server);
     };
     std::optional<placement> choice;
-    if (load_sharing_ && flow.attempts < max_local_attempts)
+    if (uses_shared_load && flow.attempts < max_local_attempts)
     {
         choice = choose_among(
             [&](server_id server)
