--- a/testing/forwarding/shared_load_test.cpp
+++ b/testing/forwarding/shared_load_test.cpp
@@ -342,9 +342,11 @@
     partitioned.reduce(load_report_received{reporter, make_uneven_report(1)});
     for (auto* const state : {&expected, &never_reported, &partitioned})
     {
-        state->advance(400ms);
-        state->advance(400ms);
-        state->advance(load_report_ttl);
+        // In steps, as a long step counts as a pause of the process.
+        for (auto time = 0ms; time <= load_report_ttl; time += 100ms)
+        {
+            state->advance(100ms);
+        }
     }
     for (std::uint16_t port = 1; port <= 40; ++port)
     {
