--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -264,6 +264,15 @@
     choose_server(service const& target_service,
                   internal::placed_flow const& flow,
                   instant now) const;
+    /// Selects one of the servers for which `is_usable(server_id)` is true, by
+    /// the load of the fleet or by that of this forwarder alone.
+    template <class Usable>
+    [[nodiscard]] std::optional<placement>
+    select_usable_server(service const& target_service,
+                         flow_key flow,
+                         Usable is_usable,
+                         bool uses_shared_load,
+                         instant now) const;
     /// Slots that requests keep busy at a server, as far as the open flows of
     /// this forwarder and the reports of others tell.
     [[nodiscard]] double busy_slots(server_id server, instant now) const;
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -124,6 +124,47 @@
     return 2 * suspected > total;
 }
 
+template <class Usable>
+std::optional<placement>
+forwarder::select_usable_server(service const& target_service,
+                                flow_key flow,
+                                Usable is_usable,
+                                bool uses_shared_load,
+                                instant now) const
+{
+    auto const load = [&](server_id server)
+    {
+        auto const& record = directory_.find_server(server)->record;
+        auto const is_remote = record.data_centre != data_centre_;
+        return (1.0 + flows_.load_of(server)) / record.slots +
+               (is_remote ? remote_data_centre_load : 0.0);
+    };
+    auto const weight = [&](server_id server)
+    {
+        return weight_of(*directory_.find_server(server), now);
+    };
+    if (!uses_shared_load)
+    {
+        return select_server(target_service,
+                             flow,
+                             flow_length::single_request,
+                             candidate_servers(is_usable, load, weight));
+    }
+    auto const capacity = [&](server_id server)
+    {
+        return weight(server) * directory_.find_server(server)->record.slots *
+               fleet_load_.relative_speed(server, now);
+    };
+    auto const utilisation = [&](server_id server)
+    {
+        return busy_slots(server, now) / capacity(server);
+    };
+    return select_by_utilisation(
+        target_service,
+        flow,
+        candidate_servers(is_usable, utilisation, capacity));
+}
+
 std::optional<server_id> forwarder::choose_server(service const& target_service,
                                                   placed_flow const& flow,
                                                   instant now) const
@@ -149,39 +190,10 @@
                (is_suspicion_ignored ||
                 reachability_.is_server_usable(server, now));
     };
-    auto const load = [&](server_id server)
-    {
-        auto const& record = directory_.find_server(server)->record;
-        auto const is_remote = record.data_centre != data_centre_;
-        return (1.0 + flows_.load_of(server)) / record.slots +
-               (is_remote ? remote_data_centre_load : 0.0);
-    };
-    auto const weight = [&](server_id server)
-    {
-        return weight_of(*directory_.find_server(server), now);
-    };
-    auto const capacity = [&](server_id server)
-    {
-        return weight(server) * directory_.find_server(server)->record.slots *
-               fleet_load_.relative_speed(server, now);
-    };
-    auto const utilisation = [&](server_id server)
-    {
-        return busy_slots(server, now) / capacity(server);
-    };
     auto const choose_among = [&](auto is_usable)
     {
-        if (uses_shared_load)
-        {
-            return select_by_utilisation(
-                target_service,
-                flow.key,
-                candidate_servers(is_usable, utilisation, capacity));
-        }
-        return select_server(target_service,
-                             flow.key,
-                             flow_length::single_request,
-                             candidate_servers(is_usable, load, weight));
+        return select_usable_server(
+            target_service, flow.key, is_usable, uses_shared_load, now);
     };
     auto const is_candidate = [&](server_id server)
     {
