--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -17,6 +17,7 @@
 
 #include "dotterelrouter/bindings/bindings.hpp"
 #include "dotterelrouter/directory/directory.hpp"
+#include "dotterelrouter/fleet_load/fleet_load.hpp"
 #include "dotterelrouter/forwarder/internal/flow_table.hpp"
 #include "dotterelrouter/forwarder/internal/held_flows.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
@@ -76,6 +77,9 @@
     /// Flows that this forwarder placed at their servers and that are not
     /// closed.
     std::size_t flows_at_evacuated = 0;
+    /// Number of forwarders whose reports of load are recent. Empty if load is
+    /// not shared.
+    std::optional<std::size_t> load_reporters{};
 };
 
 /// Decides where each packet goes, and keeps the directory up to date.
@@ -112,6 +116,9 @@
     void on(bindings_received const& next_event,
             instant now,
             forwarder_effects& out);
+    void on(load_report_received const& next_event,
+            instant now,
+            forwarder_effects& out);
     void on(changes_requested const& next_event,
             instant now,
             forwarder_effects& out);
@@ -274,6 +281,23 @@
                   internal::placed_flow const& flow,
                   instant now,
                   cold_limit_use limits = cold_limit_use::applied) const;
+    /// Selects one of the servers for which `is_usable(server_id)` is true, by
+    /// the load of the fleet or by that of this forwarder alone.
+    template <class Usable>
+    [[nodiscard]] std::optional<placement>
+    select_usable_server(service const& target_service,
+                         flow_key flow,
+                         Usable is_usable,
+                         bool uses_shared_load,
+                         instant now) const;
+    /// Slots that requests keep busy at a server, as far as the open flows of
+    /// this forwarder and the reports of others tell.
+    [[nodiscard]] double busy_slots(server_id server, instant now) const;
+    /// Returns the load of a service in each data centre, the own one first,
+    /// with the slots that its servers offer to new flows of this forwarder.
+    /// Linear in the number of servers.
+    [[nodiscard]] std::vector<data_centre_load>
+    loads_of(service const& target_service, instant now) const;
     /// Marks a flow as open at a server, and reports the handshake.
     void mark_opened(internal::placed_flow& flow,
                      server_id server,
@@ -368,6 +392,21 @@
     void report_evacuations(instant now, forwarder_effects& out);
     /// Whether the store must be read since the evacuations are not known.
     [[nodiscard]] bool should_read_evacuations(instant now) const;
+    // Shared load. These do nothing if load is not shared.
+    void observe_arrival(route const& flow_route, flow_key flow, instant now);
+    void observe_unanswered(server_entry const& server, instant now);
+    void observe_response(internal::placed_flow const& flow,
+                          server_entry const& server,
+                          duration response_time,
+                          instant now);
+    /// Whether no other route to a service is more urgent.
+    [[nodiscard]] bool is_most_urgent(std::string_view service,
+                                      std::uint8_t urgency) const;
+    /// Samples the requests in progress, and sends reports of load, as far as
+    /// they are due.
+    void share_load(instant now, forwarder_effects& out);
+    void sample_load(instant now);
+    void send_load_reports(instant now, forwarder_effects& out);
 
     // Directory updates.
     void apply_update(directory_update const& update,
@@ -417,6 +456,10 @@
     /// Version of the peers that were passed to `cold_budget_`.
     std::uint64_t cold_budget_version_ = 0;
     steady_time cold_budget_due_{}; ///< When they are passed to it again.
+    std::optional<load_sharing_settings> load_sharing_;
+    fleet_load fleet_load_;
+    steady_time next_load_sample_at_{};
+    steady_time next_load_report_at_{};
     internal::flow_table flows_;
     binding_table bindings_;
     /// Version of the peers that were passed to `bindings_`.
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -22,6 +22,10 @@
 /// server with a current one.
 constexpr double expired_server_weight = 0.5;
 
+/// Number of attempts of a flow that stay in the forwarder's own data centre
+/// where load is shared, if any server there can be used.
+constexpr std::size_t max_local_attempts = 2;
+
 /// Adapts three callables to the view of a service's servers that
 /// `select_server` takes.
 template <class Usable, class Load, class Weight>
@@ -120,11 +124,55 @@
     return 2 * suspected > total;
 }
 
+template <class Usable>
+std::optional<placement>
+forwarder::select_usable_server(service const& target_service,
+                                flow_key flow,
+                                Usable is_usable,
+                                bool uses_shared_load,
+                                instant now) const
+{
+    auto const load = [&](server_id server)
+    {
+        auto const& record = directory_.find_server(server)->record;
+        auto const is_remote = record.data_centre != data_centre_;
+        return (1.0 + flows_.load_of(server)) / record.slots +
+               (is_remote ? remote_data_centre_load : 0.0);
+    };
+    auto const weight = [&](server_id server)
+    {
+        return weight_of(*directory_.find_server(server), now);
+    };
+    if (!uses_shared_load)
+    {
+        return select_server(target_service,
+                             flow,
+                             flow_length::single_request,
+                             candidate_servers(is_usable, load, weight));
+    }
+    auto const capacity = [&](server_id server)
+    {
+        return weight(server) * directory_.find_server(server)->record.slots *
+               fleet_load_.relative_speed(server, now);
+    };
+    auto const utilisation = [&](server_id server)
+    {
+        return busy_slots(server, now) / capacity(server);
+    };
+    return select_by_utilisation(
+        target_service,
+        flow,
+        candidate_servers(is_usable, utilisation, capacity));
+}
+
 std::optional<server_id> forwarder::choose_server(service const& target_service,
                                                   placed_flow const& flow,
                                                   instant now,
                                                   cold_limit_use limits) const
 {
+    // Without recent reports, as after a partition, the own load decides alone.
+    auto const uses_shared_load =
+        load_sharing_ && fleet_load_.recent_reporters(now) > 0;
     auto const is_suspicion_ignored =
         is_majority_suspected(target_service, now);
     auto const can_take_flow = [&](server_id server)
@@ -147,29 +195,27 @@
                (is_suspicion_ignored ||
                 reachability_.is_server_usable(server, now));
     };
-    auto const load = [&](server_id server)
+    auto const choose_among = [&](auto is_usable)
     {
-        auto const& record = directory_.find_server(server)->record;
-        auto const is_remote = record.data_centre != data_centre_;
-        return (1.0 + flows_.load_of(server)) / record.slots +
-               (is_remote ? remote_data_centre_load : 0.0);
+        return select_usable_server(
+            target_service, flow.key, is_usable, uses_shared_load, now);
     };
-    auto const weight = [&](server_id server)
+    auto const is_candidate = [&](server_id server)
     {
-        return weight_of(*directory_.find_server(server), now);
+        return is_unattempted(server) && is_reachable(server);
     };
-    auto const choose_among = [&](auto is_usable)
+    std::optional<placement> choice;
+    if (uses_shared_load && flow.attempts < max_local_attempts)
     {
-        return select_server(target_service,
-                             flow.key,
-                             flow_length::single_request,
-                             candidate_servers(is_usable, load, weight));
-    };
-    auto choice = choose_among(
-        [&](server_id server)
-        {
-            return is_unattempted(server) && is_reachable(server);
-        });
+        choice = choose_among(
+            [&](server_id server)
+            {
+                return directory_.find_server(server)->record.data_centre ==
+                           data_centre_ &&
+                       is_candidate(server);
+            });
+    }
+    choice = choice ? choice : choose_among(is_candidate);
     choice = choice ? choice : choose_among(is_unattempted);
     choice = choice ? choice : choose_among(can_take_flow);
     return choice ? std::optional{choice->server} : std::nullopt;
--- a/dotterelrouter/routing/internal/choice.hpp
+++ b/dotterelrouter/routing/internal/choice.hpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <concepts>
 #include <optional>
+#include <utility>
 
 namespace dotterelrouter
 {
@@ -216,4 +217,76 @@
     return placement{*chosen, chosen != successor_choice(target_service, flow)};
 }
 
+namespace internal
+{
+
+/// Returns the servers of highest rank for two hashes, by weighted rendezvous
+/// hashing with the weights of the servers; they may be the same one. Returns
+/// nullopt if none can be used.
+template <server_loads Loads>
+std::optional<std::pair<server_id, server_id>>
+draw_two(service const& target_service,
+         std::pair<std::uint64_t, std::uint64_t> hashes,
+         Loads const& loads)
+{
+    std::optional<std::pair<server_id, server_id>> drawn;
+    double first_rank = 0;
+    double second_rank = 0;
+    for (auto const& server : target_service.all_servers())
+    {
+        if (server.draining || !loads.is_usable(server.id))
+        {
+            continue;
+        }
+        auto const scale = server.slots / loads.weight(server.id);
+        auto const rank = scale * rendezvous_rank(hashes.first, server);
+        auto const other_rank = scale * rendezvous_rank(hashes.second, server);
+        if (!drawn)
+        {
+            drawn = {server.id, server.id};
+            first_rank = rank;
+            second_rank = other_rank;
+        }
+        if (rank > first_rank)
+        {
+            drawn->first = server.id;
+            first_rank = rank;
+        }
+        if (other_rank > second_rank)
+        {
+            drawn->second = server.id;
+            second_rank = other_rank;
+        }
+    }
+    return drawn;
+}
+
+} // namespace internal
+
+/// Chooses the server of a new flow by loads that many members share and that
+/// are seconds old. Here weight() is the server's capacity, which must be above
+/// 0. Two candidates are drawn by weighted rendezvous hashing, so that each
+/// server gets flows in proportion to its capacity, and the less loaded one is
+/// chosen. As the candidates differ between flows, members don't all choose the
+/// server that was last reported free. Returns nullopt if no server is both
+/// usable and not draining. Linear in the number of servers, without
+/// allocation.
+template <server_loads Loads>
+std::optional<placement> select_by_utilisation(service const& target_service,
+                                               flow_key flow,
+                                               Loads const& loads)
+{
+    auto const hash = hash_of(flow);
+    auto const drawn =
+        internal::draw_two(target_service, {hash, mix(~hash)}, loads);
+    if (!drawn)
+    {
+        return std::nullopt;
+    }
+    auto const chosen = loads.load(drawn->second) < loads.load(drawn->first)
+                            ? drawn->second
+                            : drawn->first;
+    return placement{chosen, chosen != successor_choice(target_service, flow)};
+}
+
 } // namespace dotterelrouter
--- a/dotterelrouter/telemetry/forwarder_metrics.cpp
+++ b/dotterelrouter/telemetry/forwarder_metrics.cpp
@@ -153,6 +153,12 @@
     add_gauge(families,
               "flows_at_evacuated",
               static_cast<double>(samples.flows_at_evacuated));
+    if (samples.load_reporters)
+    {
+        add_gauge(families,
+                  "load_reporters",
+                  static_cast<double>(*samples.load_reporters));
+    }
     add_gauge(families, "directory_age_seconds", samples.directory_age_seconds);
     auto& histogram = add_family(families,
                                  "handshake_duration_seconds",
--- a/dotterelrouter/telemetry/internal/forwarder_metrics.hpp
+++ b/dotterelrouter/telemetry/internal/forwarder_metrics.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace dotterelrouter
@@ -32,6 +33,9 @@
 
     /// Flows that this forwarder placed there and that are not closed.
     std::size_t flows_at_evacuated = 0;
+    /// Forwarders whose reports of load are recent; empty if load is not
+    /// shared.
+    std::optional<std::size_t> load_reporters{};
 
     /// Datagrams that were oversized, found a full buffer or failed to be sent.
     std::uint64_t datagrams_dropped = 0;
