Let operators set the cost of a flow to another data centre

Given, it turns load sharing on also where the settings file has no Bounds.EvacuationMs. An invalid value ends the program with exit code 2 before the settings file is read. The value is kept apart from the settings, since these are read again every 2 s.

--- a/dotterelrouter/command/command.cpp
+++ b/dotterelrouter/command/command.cpp
@@ -1,5 +1,6 @@
 #include "dotterelrouter/command/command.hpp"
 
+#include "dotterelrouter/command/internal/forward_options.hpp"
 #include "dotterelrouter/command/internal/inventory.hpp"
 #include "dotterelrouter/command/internal/operator_process.hpp"
 #include "dotterelrouter/command/internal/options.hpp"
@@ -114,10 +115,11 @@
 }
 
 /// Runs a forwarder until it ends and exits the program with its code.
-[[noreturn]] void run_forwarder_command()
+[[noreturn]] void run_forwarder_command(option_values const& options)
 {
+    auto const load_sharing = load_sharing_of(options);
     forwarder_process<platform::adapter> process(
-        platform::adapter::load_settings());
+        platform::adapter::load_settings(), load_sharing);
     auto const code = process.run();
     // Skips exit handlers and static destructors: on a normal exit log4cplus
     // waits for its own idle threads, but a finished forwarder must exit
@@ -233,7 +235,11 @@
     {
         return view_options;
     }
-    if (name == "forward" || name == "settings")
+    if (name == "forward")
+    {
+        return forward_options;
+    }
+    if (name == "settings")
     {
         return {};
     }
@@ -256,7 +262,7 @@
     }
     if (name == "forward")
     {
-        run_forwarder_command();
+        run_forwarder_command(options);
     }
     if (name == "settings")
     {
--- a/dotterelrouter/command/internal/options.hpp
+++ b/dotterelrouter/command/internal/options.hpp
@@ -57,6 +57,9 @@
     [[nodiscard]] std::uint64_t number(std::string_view name,
                                        std::uint64_t min_value,
                                        std::uint64_t max_value) const;
+    /// Parses a decimal number such as 0.3.
+    [[nodiscard]] double
+    decimal(std::string_view name, double min_value, double max_value) const;
     /// Parses an address such as 127.0.0.1:7000.
     [[nodiscard]] endpoint address(std::string_view name) const;
     /// Whether the switch is given. Its environment variable is 0 or 1.
--- a/dotterelrouter/command/options.cpp
+++ b/dotterelrouter/command/options.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
 #include <cstdlib>
+#include <system_error>
 #include <vector>
 
 namespace dotterelrouter
@@ -83,6 +85,24 @@
     return *value;
 }
 
+double option_values::decimal(std::string_view name,
+                              double min_value,
+                              double max_value) const
+{
+    auto const digits = text(name);
+    double value = 0;
+    auto const* const end = digits.data() + digits.size();
+    auto const [parsed_end, error] =
+        std::from_chars(digits.data(), end, value, std::chars_format::fixed);
+    // The comparison is false for a value that is not a number.
+    auto const is_in_range = value >= min_value && value <= max_value;
+    if (error != std::errc{} || parsed_end != end || !is_in_range)
+    {
+        throw_invalid_value(name);
+    }
+    return value;
+}
+
 endpoint option_values::address(std::string_view name) const
 {
     auto const parsed_address = parse_endpoint(text(name));
--- a/dotterelrouter/command/options_test.cpp
+++ b/dotterelrouter/command/options_test.cpp
@@ -1,10 +1,13 @@
 #include "dotterelrouter/command/command.hpp"
 #include "dotterelrouter/command/internal/fleet_view.hpp"
+#include "dotterelrouter/command/internal/forward_options.hpp"
 #include "dotterelrouter/command/internal/options.hpp"
 
 #include <array>
 #include <cstdlib>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include <CppUTest/TestHarness.h>
 
@@ -47,6 +50,7 @@
     {
         unsetenv("DOTTERELROUTER_TEST_PORT");
         unsetenv("DOTTERELROUTER_TEST_SWITCH");
+        unsetenv("DOTTERELROUTER_REMOTE_FLOW_COST");
     }
 };
 
@@ -126,6 +130,60 @@
                      .c_str());
 }
 
+/// Returns how load is shared by the arguments of `forward` and its variables.
+std::optional<load_sharing_settings>
+parse_load_sharing(std::span<char const* const> arguments)
+{
+    return load_sharing_of(
+        parse_options("forward", forward_options, arguments));
+}
+
+TEST(options, the_settings_file_decides_on_load_sharing_without_flag)
+{
+    CHECK_FALSE(parse_load_sharing({}).has_value());
+}
+
+TEST(options, the_flag_and_the_variable_turn_load_sharing_on)
+{
+    setenv("DOTTERELROUTER_REMOTE_FLOW_COST", "0.75", 1);
+    DOUBLES_EQUAL(0.75, parse_load_sharing({}).value().remote_flow_cost, 0);
+    for (auto const& [argument, cost] :
+         {std::pair{"--remote-flow-cost=0", 0.0},
+          std::pair{"--remote-flow-cost=1.5", 1.5},
+          std::pair{"--remote-flow-cost=10", 10.0}})
+    {
+        std::array const arguments{argument};
+        DOUBLES_EQUAL(
+            cost, parse_load_sharing(arguments).value().remote_flow_cost, 0);
+    }
+}
+
+TEST(options, invalid_costs_of_a_remote_flow_are_rejected)
+{
+    for (auto const* value :
+         {"", "-0.1", "10.01", "1e1", "0,3", "0.3x", " 1", "nan", "inf", "x"})
+    {
+        setenv("DOTTERELROUTER_REMOTE_FLOW_COST", value, 1);
+        auto const expected = "--remote-flow-cost: '" + std::string(value) +
+                              "', expected 0 to 10";
+        STRCMP_EQUAL(expected.c_str(),
+                     usage_error_message(
+                         []
+                         {
+                             static_cast<void>(parse_load_sharing({}));
+                         })
+                         .c_str());
+    }
+}
+
+/// A forwarder with a wrong flag must not start with the default in its place.
+TEST(options, forward_ends_with_a_usage_error_for_an_invalid_cost)
+{
+    std::array<char const*, 3> const arguments{
+        "dotterelrouter", "forward", "--remote-flow-cost=11"};
+    LONGS_EQUAL(exit_usage_error, run_command(arguments));
+}
+
 template <class Alternative>
 std::vector<Alternative>
 effects_of_type(std::span<fleet_view_effect const> effects)
--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -22,6 +22,7 @@
 #include <concepts>
 #include <cstdint>
 #include <exception>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -69,9 +70,12 @@
 public:
     using settings_type = typename Platform::settings;
 
-    /// Binds all endpoints and schedules the first timer event. Throws
-    /// runtime_error if an endpoint can't be bound.
-    explicit forwarder_process(settings_type settings)
+    /// Binds all endpoints and schedules the first timer event.
+    /// `load_sharing`, if set, takes precedence over that of the settings.
+    /// Throws runtime_error if an endpoint can't be bound.
+    explicit forwarder_process(
+        settings_type settings,
+        std::optional<load_sharing_settings> load_sharing = std::nullopt)
         : settings_(std::move(settings)),
           log_(settings_.vm_name, standard_output_descriptor),
           reducer_({.heartbeat_endpoint = settings_.heartbeat_endpoint,
@@ -81,7 +85,8 @@
                     .flow_lifetime = settings_.flow_lifetime,
                     .is_first_start = settings_.is_first_start,
                     .cold_limits = settings_.cold_limits,
-                    .load_sharing = settings_.load_sharing})
+                    .load_sharing =
+                        load_sharing ? load_sharing : settings_.load_sharing})
     {
         reducer_timer_.set_deadline(clock_.now().steady);
         settings_check_timer_.set_deadline(clock_.now().steady +
