Spill over flows to other data centres where load is shared

Where load is shared, a flow's first two attempts went to the own data centre whatever its load. They go to the data centre now that spillover_policy chooses from the flow's hash; the third one may go anywhere, as before. Servers of other data centres count as busier only while there are no reports of them.

Adds log lines (spillover_changed), counters of first attempts by data centre, and the gauge dotterelrouter_spillover_share. Nothing changes without load sharing.

--- a/dotterelrouter/forwarder/flows.cpp
+++ b/dotterelrouter/forwarder/flows.cpp
@@ -33,6 +33,11 @@
                                forwarder_effects& out)
 {
     auto const* const target_service = choose_service(flow_route, flow.key);
+    auto const is_first_attempt = flow.attempts == 0;
+    if (load_sharing_ && is_first_attempt && target_service != nullptr)
+    {
+        flow.data_centre = choose_data_centre(*target_service, flow.key);
+    }
     auto const chosen_server = target_service == nullptr
                                    ? std::nullopt
                                    : choose_server(*target_service, flow, now);
@@ -42,6 +47,10 @@
     {
         return;
     }
+    if (load_sharing_ && is_first_attempt)
+    {
+        count_placement(*server, out);
+    }
     flow.load_at_choice = flows_.load_of(server->id);
     flow.routes_version = directory_.routes_version();
     flows_.assign(flow, server->id);
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -60,6 +60,9 @@
       load_sharing_(settings.load_sharing),
       fleet_load_(
           {.data_centre = data_centre_, .incarnation = settings.incarnation}),
+      spillover_(
+          data_centre_,
+          load_sharing_.value_or(load_sharing_settings{}).remote_flow_cost),
       bindings_({.data_centre = data_centre_,
                  .flow_lifetime = settings.flow_lifetime}),
       is_first_start_(settings.is_first_start)
@@ -263,6 +266,7 @@
     request_changes_if_behind(now, out);
     report_freshness(now, out);
     share_load(now, out);
+    update_spillover(now, out);
     advance_shutdown(now, out);
 }
 
@@ -482,7 +486,9 @@
         shutdown_started_at_
             ? std::optional{now.steady + shutdown_check_interval}
             : std::nullopt,
-        load_sharing_ ? std::optional{next_load_sample_at_} : std::nullopt};
+        load_sharing_ ? std::optional{next_load_sample_at_} : std::nullopt,
+        load_sharing_ ? std::optional{next_spillover_update_at_}
+                      : std::nullopt};
     for (auto const& deadline : deadlines)
     {
         if (deadline && *deadline > now.steady)
@@ -520,7 +526,10 @@
             .bindings = bindings_.size(),
             .load_reporters =
                 load_sharing_ ? std::optional{fleet_load_.recent_reporters(now)}
-                              : std::nullopt};
+                              : std::nullopt,
+            .spillover_share = load_sharing_
+                                   ? std::optional{spillover_.max_share()}
+                                   : std::nullopt};
 }
 
 } // namespace dotterelrouter
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -25,6 +25,7 @@
 #include "dotterelrouter/reachability/reachability.hpp"
 #include "dotterelrouter/replication/replication.hpp"
 #include "dotterelrouter/routing/routing.hpp"
+#include "dotterelrouter/spillover/spillover.hpp"
 
 #include <optional>
 #include <span>
@@ -71,6 +72,9 @@
     /// Number of forwarders whose reports of load are recent. Empty if load is
     /// not shared.
     std::optional<std::size_t> load_reporters{};
+    /// Share of the new flows that leave the own data centre, of the service
+    /// with the largest one. Empty if load is not shared.
+    std::optional<double> spillover_share{};
 };
 
 /// Decides where each packet goes, and keeps the directory up to date.
@@ -264,6 +268,10 @@
     choose_server(service const& target_service,
                   internal::placed_flow const& flow,
                   instant now) const;
+    /// Chooses the data centre for the first attempts of a new flow. Load must
+    /// be shared.
+    [[nodiscard]] data_centre_id
+    choose_data_centre(service const& target_service, flow_key flow) const;
     /// Slots that requests keep busy at a server, as far as the open flows of
     /// this forwarder and the reports of others tell.
     [[nodiscard]] double busy_slots(server_id server, instant now) const;
@@ -327,6 +335,15 @@
     void share_load(instant now, forwarder_effects& out);
     void sample_load(instant now);
     void send_load_reports(instant now, forwarder_effects& out);
+    /// Updates the share of flows that leave the own data centre, if it is due.
+    void update_spillover(instant now, forwarder_effects& out);
+    /// Same, of one service.
+    void update_spillover_of(service const& target_service,
+                             instant now,
+                             forwarder_effects& out);
+    /// Counts the first attempt of a flow.
+    void count_placement(server_entry const& server,
+                         forwarder_effects& out) const;
 
     // Directory updates.
     void apply_update(directory_update const& update,
@@ -372,6 +389,8 @@
     load_shedder load_shedder_;
     std::optional<load_sharing_settings> load_sharing_;
     fleet_load fleet_load_;
+    spillover_policy spillover_;
+    steady_time next_spillover_update_at_{};
     steady_time next_load_sample_at_{};
     steady_time next_load_report_at_{};
     internal::flow_table flows_;
--- a/dotterelrouter/forwarder/internal/flow_table.hpp
+++ b/dotterelrouter/forwarder/internal/flow_table.hpp
@@ -48,6 +48,8 @@
     std::size_t attempts = 0;
     /// The server that opened the flow; before that, that of the last attempt.
     server_id server;
+    /// Data centre that was chosen for the first attempts, if load is shared.
+    data_centre_id data_centre;
     /// The caller sent its first packet several times. Other copies may have
     /// reached other forwarders.
     bool has_copies = false;
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -22,9 +22,9 @@
 /// server with a current one.
 constexpr double expired_server_weight = 0.5;
 
-/// Number of attempts of a flow that stay in the forwarder's own data centre
-/// where load is shared, if any server there can be used.
-constexpr std::size_t max_local_attempts = 2;
+/// Number of attempts of a flow that stay in the data centre that was chosen
+/// for it where load is shared, if any server there can be used.
+constexpr std::size_t max_attempts_in_data_centre = 2;
 
 /// Adapts three callables to the view of a service's servers that
 /// `select_server` takes.
@@ -164,7 +164,13 @@
     };
     auto const utilisation = [&](server_id server)
     {
-        return busy_slots(server, now) / capacity(server);
+        // Without reports of other data centres, their servers may be busy.
+        auto const is_unknown =
+            directory_.find_server(server)->record.data_centre !=
+                data_centre_ &&
+            !spillover_.has_reports(target_service.name);
+        return busy_slots(server, now) / capacity(server) +
+               (is_unknown ? remote_data_centre_load : 0.0);
     };
     auto const choose_among = [&](auto is_usable)
     {
@@ -185,13 +191,13 @@
         return is_unattempted(server) && is_reachable(server);
     };
     std::optional<placement> choice;
-    if (load_sharing_ && flow.attempts < max_local_attempts)
+    if (load_sharing_ && flow.attempts < max_attempts_in_data_centre)
     {
         choice = choose_among(
             [&](server_id server)
             {
                 return directory_.find_server(server)->record.data_centre ==
-                           data_centre_ &&
+                           flow.data_centre &&
                        is_candidate(server);
             });
     }
--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -468,6 +468,7 @@
              .tracked_flows = gauges.tracked_flows,
              .bindings = gauges.bindings,
              .load_reporters = gauges.load_reporters,
+             .spillover_share = gauges.spillover_share,
              .datagrams_dropped = statistics.dropped_full +
                                   statistics.dropped_oversized +
                                   statistics.send_errors,
--- a/dotterelrouter/spillover/spillover.cpp
+++ b/dotterelrouter/spillover/spillover.cpp
@@ -208,7 +208,7 @@
             slots += load->slots;
         }
     }
-    if (slots <= 0)
+    if (slots <= 0 || figures.own_slots <= 0)
     {
         return 0;
     }
@@ -265,10 +265,11 @@
         std::ranges::any_of(others, &data_centre_load::is_known);
     advance_reported_shares(state, response_lag + figures.flow_load_time, now);
     set_rooms(state, figures, others);
-    auto const reason =
-        figures.own_slots > 0
-            ? adjust_share(state, target_share(state, figures, others))
-            : move_all_flows(state);
+    // Without reports from its own data centre, this forwarder does not know
+    // whether the load is worth a move.
+    auto const target = own.is_known ? target_share(state, figures, others) : 0;
+    auto const reason = figures.own_slots > 0 ? adjust_share(state, target)
+                                              : move_all_flows(state);
     distribute(state);
     return take_change(state, reason, now);
 }
--- a/dotterelrouter/spillover/spillover_test.cpp
+++ b/dotterelrouter/spillover/spillover_test.cpp
@@ -180,6 +180,14 @@
     CHECK_FALSE(policy.has_reports(catalogue));
 }
 
+/// Own figures alone don't tell the load of the own data centre.
+TEST(spillover, nothing_leaves_without_reports_of_the_own_data_centre)
+{
+    auto own = make_load(own_data_centre, 5);
+    own.is_known = false;
+    CHECK(settled_share(own, {make_load(second, 0)}) == 0);
+}
+
 TEST(spillover, all_flows_leave_without_a_local_server)
 {
     auto own = make_load(own_data_centre, 0);
--- a/dotterelrouter/telemetry/forwarder_metrics.cpp
+++ b/dotterelrouter/telemetry/forwarder_metrics.cpp
@@ -153,6 +153,10 @@
                   "load_reporters",
                   static_cast<double>(*samples.load_reporters));
     }
+    if (samples.spillover_share)
+    {
+        add_gauge(families, "spillover_share", *samples.spillover_share);
+    }
     add_gauge(families, "directory_age_seconds", samples.directory_age_seconds);
     auto& histogram = add_family(families,
                                  "handshake_duration_seconds",
--- a/dotterelrouter/telemetry/internal/forwarder_metrics.hpp
+++ b/dotterelrouter/telemetry/internal/forwarder_metrics.hpp
@@ -33,6 +33,10 @@
     /// shared.
     std::optional<std::size_t> load_reporters{};
 
+    /// Largest share of new flows that leave the own data centre, from 0 to 1.
+    /// Empty if load is not shared.
+    std::optional<double> spillover_share{};
+
     /// Datagrams that were oversized, found a full buffer or failed to be sent.
     std::uint64_t datagrams_dropped = 0;
 
