--- a/dotterelrouter/spillover/spillover.hpp
+++ b/dotterelrouter/spillover/spillover.hpp
@@ -5,9 +5,11 @@
 //     policy.update(service, own_load, other_loads, now); // every 250 ms
 //     auto const target = policy.choose_data_centre(service, random_value);
 //
-// Handles the load of one service in a few data centres, of which some are
-// overloaded while others have headroom. Each forwarder decides for itself,
-// from figures that are up to some seconds old. Not thread-safe.
+// Handles the load of services in a few data centres, of which some are
+// overloaded while others have headroom, with short and with long flows. Load
+// beyond the headroom of all data centres is not spread; see load_shedder. Each
+// forwarder decides for itself, from figures that are up to some seconds old.
+// Not thread-safe.
 #pragma once
 
 #include "dotterelrouter/core/core.hpp"
--- a/dotterelrouter/spillover/spillover_load_test.cpp
+++ b/dotterelrouter/spillover/spillover_load_test.cpp
@@ -372,9 +372,8 @@
            });
     }
 
-    /// Updates all policies with figures whose age is `report_age_`, and half
-    /// of it for the own data centre, as reports within it go to more
-    /// forwarders.
+    /// Updates all policies with the means of an interval that ended
+    /// `report_age_` to `report_age_ + report_interval` ago.
     void update_policies()
     {
         ++updates_;
