--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -22,6 +22,7 @@
 #include <concepts>
 #include <cstdint>
 #include <exception>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -69,9 +70,12 @@
 public:
     using settings_type = typename Platform::settings;
 
-    /// Binds all endpoints and schedules the first timer event. Throws
-    /// runtime_error if an endpoint can't be bound.
-    explicit forwarder_process(settings_type settings)
+    /// Binds all endpoints and schedules the first timer event.
+    /// `load_sharing`, if set, takes precedence over that of the settings.
+    /// Throws runtime_error if an endpoint can't be bound.
+    explicit forwarder_process(
+        settings_type settings,
+        std::optional<load_sharing_settings> load_sharing = std::nullopt)
         : settings_(std::move(settings)),
           log_(settings_.vm_name, standard_output_descriptor),
           reducer_({.heartbeat_endpoint = settings_.heartbeat_endpoint,
@@ -82,7 +86,8 @@
                     .is_first_start = settings_.is_first_start,
                     .cold_limits = settings_.cold_limits,
                     .expects_evacuations = settings_.expects_evacuations,
-                    .load_sharing = settings_.load_sharing})
+                    .load_sharing =
+                        load_sharing ? load_sharing : settings_.load_sharing})
     {
         reducer_timer_.set_deadline(clock_.now().steady);
         settings_check_timer_.set_deadline(clock_.now().steady +
@@ -466,6 +471,7 @@
              .evacuated_data_centres = gauges.evacuated_data_centres,
              .flows_at_evacuated = gauges.flows_at_evacuated,
              .load_reporters = gauges.load_reporters,
+             .spillover_share = gauges.spillover_share,
              .datagrams_dropped = statistics.dropped_full +
                                   statistics.dropped_oversized +
                                   statistics.send_errors,
