Refuse new flows by the load of the fleet where it is shared

With load sharing set and figures of the fleet, fleet_shedder decides on new flows; without figures load_shedder does, as before, and without the setting nothing changes. Shares are updated at most every 500 ms, as the view of the loads is linear in the number of servers. Changes are logged (shedding_changed) and refusals counted by urgency.

--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -21,6 +21,7 @@
 #include "dotterelrouter/forwarder/internal/flow_table.hpp"
 #include "dotterelrouter/forwarder/internal/held_flows.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
+#include "dotterelrouter/overload/fleet_shedder.hpp"
 #include "dotterelrouter/overload/overload.hpp"
 #include "dotterelrouter/reachability/reachability.hpp"
 #include "dotterelrouter/replication/replication.hpp"
@@ -291,8 +292,17 @@
     void track_request(internal::placed_flow& flow,
                        caller_packet const& packet,
                        instant now);
+    /// Returns false if a new flow is to be refused. Where load is shared, it
+    /// is decided by the load of the fleet, as far as that is known.
     [[nodiscard]] bool should_admit(route const& flow_route,
-                                    flow_key flow) const;
+                                    flow_key flow,
+                                    instant now,
+                                    forwarder_effects& out);
+    /// Updates the shares of a service's flows that are admitted, at most every
+    /// `shedding_update_interval`, and logs a change.
+    void update_shedding(service const& target_service,
+                         instant now,
+                         forwarder_effects& out);
     void refuse_packet(caller_packet const& packet,
                        std::string_view reason,
                        instant now,
@@ -370,6 +380,9 @@
     store_reader reader_;
     reachability reachability_;
     load_shedder load_shedder_;
+    fleet_shedder fleet_shedder_;
+    /// When the admitted shares of a service were last updated, by its name.
+    string_map<steady_time> shedding_updated_at_{};
     std::optional<load_sharing_settings> load_sharing_;
     fleet_load fleet_load_;
     steady_time next_load_sample_at_{};
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -142,7 +142,7 @@
     {
         observe_arrival(*flow_route, packet.flow, now);
     }
-    if (flow == nullptr && !should_admit(*flow_route, packet.flow))
+    if (flow == nullptr && !should_admit(*flow_route, packet.flow, now, out))
     {
         refuse_packet(packet, "service overloaded", now, out);
         return;
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -1,4 +1,4 @@
-// Placement of new flows: admission and choice of the server.
+// Placement of new flows: choice of the server.
 #include "dotterelrouter/forwarder/forwarder.hpp"
 
 #include <algorithm>
@@ -70,16 +70,6 @@
 
 } // namespace
 
-bool forwarder::should_admit(route const& flow_route, flow_key flow) const
-{
-    auto const* const target_service = choose_service(flow_route, flow);
-    // The flow's hash serves as a random draw. A caller that retries opens a
-    // new flow, which draws again.
-    return target_service == nullptr ||
-           load_shedder_.should_admit(
-               target_service->name, flow_route.urgency, mix(hash_of(flow)));
-}
-
 service const* forwarder::choose_service(route const& flow_route,
                                          flow_key flow) const
 {
--- a/dotterelrouter/forwarding/internal/effects.hpp
+++ b/dotterelrouter/forwarding/internal/effects.hpp
@@ -150,8 +150,11 @@
     std::optional<std::uint64_t> version{};   ///< Version of the routes.
     std::optional<store_revision> revision{}; ///< Of the entry or directory.
     std::optional<duration> age{};        ///< Directory age or elapsed time.
-    std::optional<std::uint32_t> load{};  ///< Open flows of the server.
-    std::optional<std::uint32_t> count{}; ///< Attempts, entries or seeds.
+    /// Open flows of the server; `shedding_changed`: pressure in percent.
+    std::optional<std::uint32_t> load{};
+    /// Attempts, entries or seeds; `shedding_changed`: admitted share of the
+    /// new flows in percent.
+    std::optional<std::uint32_t> count{};
 };
 
 /// Counters of a forwarder. The telemetry library defines the metric name of
