Keep flows from servers that were just full

A full server drops first packets, which cost a flow 25 or 75 ms, and counted as a failed handshake: after two, this forwarder suspected the server for half a second and more, and the slots that it offered were missing in the utilisation.

--- a/dotterelrouter/forwarder/flows.cpp
+++ b/dotterelrouter/forwarder/flows.cpp
@@ -87,8 +87,15 @@
     }
     if (auto const* const server = directory_.find_server(flow.server))
     {
-        reachability_.on_handshake_timeout(
-            to_handshake_target(*server), now, out);
+        if (!is_probably_full(*server, now))
+        {
+            reachability_.on_handshake_timeout(
+                to_handshake_target(*server), now, out);
+        }
+        if (load_sharing_)
+        {
+            full_servers_.on_unanswered(server->id, now);
+        }
         observe_unanswered(*server, now);
     }
 }
@@ -108,6 +115,7 @@
     {
         reachability_.on_handshake_completed(
             to_handshake_target(*opening_server), out);
+        full_servers_.on_answered(server);
     }
     out.push_back(increment_forwarder_counter{forwarder_counter::flows_opened});
     out.push_back(observe_handshake{handshake_time});
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -20,8 +20,10 @@
 #include "dotterelrouter/fleet_load/fleet_load.hpp"
 #include "dotterelrouter/forwarder/internal/flow_table.hpp"
 #include "dotterelrouter/forwarder/internal/held_flows.hpp"
+#include "dotterelrouter/forwarder/internal/service_demand.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 #include "dotterelrouter/overload/fleet_shedder.hpp"
+#include "dotterelrouter/overload/full_server_list.hpp"
 #include "dotterelrouter/overload/overload.hpp"
 #include "dotterelrouter/reachability/reachability.hpp"
 #include "dotterelrouter/replication/replication.hpp"
@@ -298,6 +300,10 @@
                                     flow_key flow,
                                     instant now,
                                     forwarder_effects& out);
+    /// Whether a server that sent no handshake is probably full, not failed:
+    /// the servers of its data centre have a request in progress for each slot.
+    [[nodiscard]] bool is_probably_full(server_entry const& server,
+                                        instant now) const;
     /// Updates the shares of a service's flows that are admitted, at most every
     /// `shedding_update_interval`, and logs a change.
     void update_shedding(service const& target_service,
@@ -381,8 +387,9 @@
     reachability reachability_;
     load_shedder load_shedder_;
     fleet_shedder fleet_shedder_;
-    /// When the admitted shares of a service were last updated, by its name.
-    string_map<steady_time> shedding_updated_at_{};
+    /// By the name of the service.
+    string_map<internal::shedding_view> shedding_views_{};
+    full_server_list full_servers_;
     std::optional<load_sharing_settings> load_sharing_;
     fleet_load fleet_load_;
     steady_time next_load_sample_at_{};
--- a/dotterelrouter/forwarder/internal/service_demand.hpp
+++ b/dotterelrouter/forwarder/internal/service_demand.hpp
@@ -7,10 +7,35 @@
 
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace dotterelrouter::internal
 {
 
+/// What was derived last from the load of a service.
+struct shedding_view
+{
+    steady_time updated_at{};
+    /// Data centres whose servers have a request in progress for each slot.
+    std::vector<data_centre_id> busy_data_centres{};
+};
+
+/// Returns the data centres whose servers have no idle slots in the mean.
+[[nodiscard]] inline std::vector<data_centre_id>
+find_busy_data_centres(std::span<data_centre_load const> loads)
+{
+    std::vector<data_centre_id> busy;
+    for (auto const& load : loads)
+    {
+        if (load.is_known && load.slots > 0 &&
+            load.requests_in_progress >= load.slots)
+        {
+            busy.push_back(load.data_centre);
+        }
+    }
+    return busy;
+}
+
 /// Returns the demand for a service, and the utilisation of its servers in the
 /// usable data centres. Empty if the load of the own data centre, which is the
 /// first entry, is unknown, or if no slot is offered.
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -170,7 +170,13 @@
                              flow_length::single_request,
                              candidate_servers(is_usable, load, weight));
     };
+    // No server is known to be full unless load is shared.
     auto const is_candidate = [&](server_id server)
+    {
+        return is_unattempted(server) && is_reachable(server) &&
+               !full_servers_.is_full(server, now);
+    };
+    auto const is_unattempted_and_reachable = [&](server_id server)
     {
         return is_unattempted(server) && is_reachable(server);
     };
@@ -186,6 +192,7 @@
             });
     }
     choice = choice ? choice : choose_among(is_candidate);
+    choice = choice ? choice : choose_among(is_unattempted_and_reachable);
     choice = choice ? choice : choose_among(is_unattempted);
     choice = choice ? choice : choose_among(has_token);
     return choice ? std::optional{choice->server} : std::nullopt;
--- a/dotterelrouter/forwarder/shedding.cpp
+++ b/dotterelrouter/forwarder/shedding.cpp
@@ -3,6 +3,7 @@
 #include "dotterelrouter/forwarder/forwarder.hpp"
 #include "dotterelrouter/forwarder/internal/service_demand.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace dotterelrouter
@@ -58,19 +59,29 @@
     return is_admitted;
 }
 
+bool forwarder::is_probably_full(server_entry const& server, instant now) const
+{
+    auto const found = shedding_views_.find(server.record.service);
+    return found != shedding_views_.end() &&
+           now.steady - found->second.updated_at < load_report_ttl &&
+           std::ranges::count(found->second.busy_data_centres,
+                              server.record.data_centre) != 0;
+}
+
 void forwarder::update_shedding(service const& target_service,
                                 instant now,
                                 forwarder_effects& out)
 {
     auto const& name = target_service.name;
-    auto const [updated, is_first] =
-        shedding_updated_at_.try_emplace(name, now.steady);
-    if (!is_first && now.steady - updated->second < shedding_update_interval)
+    auto const [found, is_first] = shedding_views_.try_emplace(name);
+    auto& view = found->second;
+    if (!is_first && now.steady - view.updated_at < shedding_update_interval)
     {
         return;
     }
-    updated->second = now.steady;
-    auto const demand = internal::demand_of(loads_of(target_service, now));
+    auto const loads = loads_of(target_service, now);
+    view = {now.steady, internal::find_busy_data_centres(loads)};
+    auto const demand = internal::demand_of(loads);
     if (auto const change = fleet_shedder_.update(name, demand, now))
     {
         out.push_back(log_decision{
--- a/dotterelrouter/forwarder/shedding_test.cpp
+++ b/dotterelrouter/forwarder/shedding_test.cpp
@@ -121,6 +121,29 @@
         return static_cast<double>(effects_of_type<refuse_flow>(out).size()) / flows;
     }
 
+    void run_past_startup()
+    {
+        for (int i = 0; i < 15; ++i)
+        {
+            advance(100ms);
+        }
+    }
+
+    /// Opens a flow that no server answers. Returns how many servers were
+    /// suspected meanwhile.
+    std::size_t run_unanswered_flow()
+    {
+        dispatch(make_packet_arrived(make_flow_key(next_port++), packet_type::open));
+        std::size_t suspected = 0;
+        for (int i = 0; i < 10; ++i)
+        {
+            now.steady += 30ms;
+            dispatch(timer_fired{});
+            suspected += count_logged(out, decision::server_suspected);
+        }
+        return suspected;
+    }
+
     std::uint32_t count(forwarder_counter id) const
     {
         std::uint32_t sum = 0;
@@ -178,6 +201,55 @@
     LONGS_EQUAL(0, count_logged(out, decision::shedding_changed));
 }
 
+/// A full server drops first packets without a trace. The next flow must not
+/// lose time at it, though it has the fewest requests of this forwarder.
+TEST(shedding, flows_avoid_a_server_that_was_just_full)
+{
+    start(load_sharing_settings{});
+    run_past_startup();
+    report(make_load(200, 4));
+    dispatch(make_packet_arrived(make_flow_key(1), packet_type::open));
+    auto const full = effects_of_type<forward_packet>(out).front();
+    now.steady += 26ms;
+    dispatch(timer_fired{});
+    auto const second = effects_of_type<forward_packet>(out).front();
+    CHECK(full.server_number != second.server_number);
+    for (std::uint16_t port = 2; port <= 4; ++port)
+    {
+        dispatch(make_packet_arrived(make_flow_key(port), packet_type::open));
+        LONGS_EQUAL(second.server_number,
+                    effects_of_type<forward_packet>(out).front().server_number);
+    }
+}
+
+/// A suspected server gets no flows for longer than its queue is full.
+TEST(shedding, full_servers_are_not_suspected)
+{
+    start(load_sharing_settings{});
+    run_past_startup();
+    std::size_t suspected = 0;
+    for (int i = 0; i < 4; ++i)
+    {
+        report(make_load(200, 8));
+        suspected += run_unanswered_flow();
+    }
+    LONGS_EQUAL(0, suspected);
+}
+
+/// Servers that don't answer while slots are idle have failed.
+TEST(shedding, failed_servers_are_suspected)
+{
+    start(load_sharing_settings{});
+    run_past_startup();
+    std::size_t suspected = 0;
+    for (int i = 0; i < 4; ++i)
+    {
+        report(make_load(200, 1));
+        suspected += run_unanswered_flow();
+    }
+    CHECK(suspected > 0);
+}
+
 TEST(shedding, demand_is_the_sum_over_usable_data_centres)
 {
     std::vector<data_centre_load> loads(3,
--- a/dotterelrouter/overload/fleet_shedder_test.cpp
+++ b/dotterelrouter/overload/fleet_shedder_test.cpp
@@ -1,4 +1,5 @@
 #include "dotterelrouter/overload/fleet_shedder.hpp"
+#include "dotterelrouter/overload/full_server_list.hpp"
 
 #include <optional>
 
@@ -25,6 +26,22 @@
                                        .utilisation = 0.6,
                                        .latency_ratio = 0.1};
 
+TEST_GROUP(full_server_list){};
+
+TEST(full_server_list, server_is_full_for_a_short_time)
+{
+    instant now{steady_time{1h}, wall_time{1h}};
+    full_server_list servers;
+    servers.on_unanswered(server_id{1}, now);
+    servers.on_unanswered(server_id{2}, now);
+    CHECK(servers.is_full(server_id{1}, now));
+    CHECK_FALSE(servers.is_full(server_id{3}, now));
+    servers.on_answered(server_id{2});
+    CHECK_FALSE(servers.is_full(server_id{2}, now));
+    now.steady += full_server_memory;
+    CHECK_FALSE(servers.is_full(server_id{1}, now));
+}
+
 // clang-format off
 TEST_GROUP(fleet_shedder)
 {
