--- a/dotterelrouter/overload/fleet_shedder_test.cpp
+++ b/dotterelrouter/overload/fleet_shedder_test.cpp
@@ -54,7 +54,7 @@
     }
 
     /// Updates the shares every 100 ms; returns the number of changes to log.
-    int run(service_demand const& demand, duration time)
+    int run_for(service_demand const& demand, duration time)
     {
         int changes = 0;
         for (auto const end = now.steady + time; now.steady < end; now.steady += 100ms)
@@ -69,7 +69,7 @@
 
 TEST(fleet_shedder, admits_all_at_moderate_load)
 {
-    run(moderate_load, 10s);
+    run_for(moderate_load, 10s);
     CHECK(shedder.shares_of(catalogue) == admitted_shares{});
     CHECK(shedder.should_admit(catalogue, flow_urgency::other, UINT64_MAX));
 }
@@ -114,19 +114,19 @@
 /// Idle servers show that the overload is over, though few flows were admitted.
 TEST(fleet_shedder, idle_servers_end_the_shedding)
 {
-    run(overload, 5s);
+    run_for(overload, 5s);
     auto after = moderate_load;
     after.response_rate = 100;
     after.utilisation = 0.1;
-    run(after, 100ms);
+    run_for(after, 100ms);
     CHECK(shedder.shares_of(catalogue) == admitted_shares{});
 }
 
 /// The first flows after a pause have no response yet.
 TEST(fleet_shedder, growing_demand_is_no_overload)
 {
-    run({.arrival_rate = 0}, 5s);
-    run({.arrival_rate = 500, .utilisation = 0.5}, 2s);
+    run_for({.arrival_rate = 0}, 5s);
+    run_for({.arrival_rate = 500, .utilisation = 0.5}, 2s);
     CHECK(shedder.shares_of(catalogue) == admitted_shares{});
 }
 
@@ -146,8 +146,8 @@
 {
     auto demand = overload;
     demand.utilisation = 5;
-    run(demand, 1h);
-    run(moderate_load, 5s);
+    run_for(demand, 1h);
+    run_for(moderate_load, 5s);
     CHECK(shedder.shares_of(catalogue) == admitted_shares{});
 }
 
@@ -157,7 +157,7 @@
 {
     auto demand = moderate_load;
     demand.latency_ratio = 3;
-    run(demand, 10s);
+    run_for(demand, 10s);
     CHECK(shedder.shares_of(catalogue) == admitted_shares{});
 }
 
@@ -167,7 +167,7 @@
     auto moderate = moderate_load;
     moderate.arrival_rate = 60;
     moderate.urgent_arrival_rate = 20;
-    run(moderate, 60s);
+    run_for(moderate, 60s);
     CHECK(shedder.shares_of(catalogue) == admitted_shares{});
     auto demand = overload;
     demand.arrival_rate = 400;
@@ -178,7 +178,7 @@
 
 TEST(fleet_shedder, same_figures_give_the_same_share)
 {
-    run(overload, 2s);
+    run_for(overload, 2s);
     fleet_shedder other;
     other.update(catalogue, overload, now);
     CHECK(shedder.shares_of(catalogue) == other.shares_of(catalogue));
@@ -197,11 +197,11 @@
     CHECK(change.has_value());
     DOUBLES_EQUAL(0.25, change->admitted_share, 0.001);
     DOUBLES_EQUAL(1.0, change->pressure, 0.001);
-    LONGS_EQUAL(0, run(overload, 5s));
+    LONGS_EQUAL(0, run_for(overload, 5s));
     int changes = 0;
     for (int i = 0; i < 50; ++i)
     {
-        changes += run(i % 2 == 0 ? moderate_load : overload, 100ms);
+        changes += run_for(i % 2 == 0 ? moderate_load : overload, 100ms);
     }
     CHECK_COMPARE(changes, >=, 4);
     CHECK_COMPARE(changes, <=, 5);
