--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -549,19 +549,17 @@
 
 forwarder_gauges forwarder::gauges(instant now) const
 {
-    forwarder_gauges gauges{.routes_version = directory_.routes_version(),
-                            .revision = directory_.revision(),
-                            .directory_age = freshness_.age(now),
-                            .tracked_flows = flows_.size(),
-                            .bindings = bindings_.size(),
-                            .load_reporters =
-                                load_sharing_
-                                    ? std::optional{fleet_load_.recent_reporters(now)}
-                                    : std::nullopt,
-                            .spillover_share =
-                                load_sharing_
-                                    ? std::optional{spillover_.max_share()}
-                                    : std::nullopt};
+    forwarder_gauges gauges{
+        .routes_version = directory_.routes_version(),
+        .revision = directory_.revision(),
+        .directory_age = freshness_.age(now),
+        .tracked_flows = flows_.size(),
+        .bindings = bindings_.size(),
+        .load_reporters = load_sharing_
+                              ? std::optional{fleet_load_.recent_reporters(now)}
+                              : std::nullopt,
+        .spillover_share = load_sharing_ ? std::optional{spillover_.max_share()}
+                                         : std::nullopt};
     for (auto const& evacuation : directory_.active_evacuations())
     {
         ++gauges.evacuated_data_centres;
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -20,7 +20,10 @@
 #include "dotterelrouter/fleet_load/fleet_load.hpp"
 #include "dotterelrouter/forwarder/internal/flow_table.hpp"
 #include "dotterelrouter/forwarder/internal/held_flows.hpp"
+#include "dotterelrouter/forwarder/internal/service_demand.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
+#include "dotterelrouter/overload/fleet_shedder.hpp"
+#include "dotterelrouter/overload/full_server_list.hpp"
 #include "dotterelrouter/overload/overload.hpp"
 #include "dotterelrouter/reachability/reachability.hpp"
 #include "dotterelrouter/replication/replication.hpp"
@@ -325,8 +328,21 @@
     void track_request(internal::placed_flow& flow,
                        caller_packet const& packet,
                        instant now);
+    /// Returns false if a new flow is to be refused. Where load is shared, it
+    /// is decided by the load of the fleet, as far as that is known.
     [[nodiscard]] bool should_admit(route const& flow_route,
-                                    flow_key flow) const;
+                                    flow_key flow,
+                                    instant now,
+                                    forwarder_effects& out);
+    /// Whether a server that sent no handshake is probably full, not failed:
+    /// the servers of its data centre have a request in progress for each slot.
+    [[nodiscard]] bool is_probably_full(server_entry const& server,
+                                        instant now) const;
+    /// Updates the shares of a service's flows that are admitted, at most every
+    /// `shedding_update_interval`, and logs a change.
+    void update_shedding(service const& target_service,
+                         instant now,
+                         forwarder_effects& out);
     /// Refuses a flow for which there was no server, and says why. Drops a copy
     /// of a first packet if only evacuations or cold servers stand in the way,
     /// as the flow may be open already.
@@ -473,6 +489,10 @@
     /// Version of the peers that were passed to `cold_budget_`.
     std::uint64_t cold_budget_version_ = 0;
     steady_time cold_budget_due_{}; ///< When they are passed to it again.
+    fleet_shedder fleet_shedder_;
+    /// By the name of the service.
+    string_map<internal::shedding_view> shedding_views_{};
+    full_server_list full_servers_;
     std::optional<load_sharing_settings> load_sharing_;
     fleet_load fleet_load_;
     spillover_policy spillover_;
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -1,4 +1,4 @@
-// Placement of new flows: admission and choice of the server.
+// Placement of new flows: choice of the server.
 #include "dotterelrouter/forwarder/forwarder.hpp"
 
 #include <algorithm>
@@ -70,16 +70,6 @@
 
 } // namespace
 
-bool forwarder::should_admit(route const& flow_route, flow_key flow) const
-{
-    auto const* const target_service = choose_service(flow_route, flow);
-    // The flow's hash serves as a random draw. A caller that retries opens a
-    // new flow, which draws again.
-    return target_service == nullptr ||
-           load_shedder_.should_admit(
-               target_service->name, flow_route.urgency, mix(hash_of(flow)));
-}
-
 service const* forwarder::choose_service(route const& flow_route,
                                          flow_key flow) const
 {
@@ -206,7 +196,13 @@
         return select_usable_server(
             target_service, flow.key, is_usable, uses_shared_load, now);
     };
+    // No server is known to be full unless load is shared.
     auto const is_candidate = [&](server_id server)
+    {
+        return is_unattempted(server) && is_reachable(server) &&
+               !full_servers_.is_full(server, now);
+    };
+    auto const is_unattempted_and_reachable = [&](server_id server)
     {
         return is_unattempted(server) && is_reachable(server);
     };
@@ -222,6 +218,7 @@
             });
     }
     choice = choice ? choice : choose_among(is_candidate);
+    choice = choice ? choice : choose_among(is_unattempted_and_reachable);
     choice = choice ? choice : choose_among(is_unattempted);
     choice = choice ? choice : choose_among(can_take_flow);
     return choice ? std::optional{choice->server} : std::nullopt;
--- a/dotterelrouter/replication/internal/store_reader.hpp
+++ b/dotterelrouter/replication/internal/store_reader.hpp
@@ -30,8 +30,8 @@
                            instant now,
                            forwarder_effects& out);
 
-    /// Makes the next read a full snapshot. `reason` is for the log, and must be
-    /// a string literal.
+    /// Makes the next read a full snapshot. `reason` is for the log, and must
+    /// be a string literal.
     void require_snapshot(std::string_view reason)
     {
         snapshot_needed_ = true;
