--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -130,6 +130,13 @@
     /// Adds the flow that a first packet begins to the flow table.
     internal::placed_flow&
     add_flow(caller_packet const& packet, route const& flow_route, instant now);
+    /// Removes a flow for whose first packet no server can be chosen, and
+    /// refuses it.
+    void refuse_unplaced_flow(internal::placed_flow const& flow,
+                              caller_packet const& packet,
+                              route const& flow_route,
+                              instant now,
+                              forwarder_effects& out);
     void on_later_packet(caller_packet const& packet,
                          instant now,
                          forwarder_effects& out);
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -166,16 +166,25 @@
     attempt_server(*flow, *flow_route, now, out);
     if (flow->attempts == 0 && attempts_before == 0)
     {
-        auto const is_kept = is_kept_from_cold(*flow_route, *flow, now);
-        flows_.remove(packet.flow);
-        if (!is_kept)
-        {
-            refuse_packet(packet, "no server", now, out);
-        }
-        else if (!may_be_open_elsewhere(packet, now))
-        {
-            refuse_packet(packet, "no warm server", now, out);
-        }
+        refuse_unplaced_flow(*flow, packet, *flow_route, now, out);
+    }
+}
+
+void forwarder::refuse_unplaced_flow(placed_flow const& flow,
+                                     caller_packet const& packet,
+                                     route const& flow_route,
+                                     instant now,
+                                     forwarder_effects& out)
+{
+    auto const is_kept = is_kept_from_cold(flow_route, flow, now);
+    flows_.remove(packet.flow);
+    if (!is_kept)
+    {
+        refuse_packet(packet, "no server", now, out);
+    }
+    else if (!may_be_open_elsewhere(packet, now))
+    {
+        refuse_packet(packet, "no warm server", now, out);
     }
 }
 
