--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -171,9 +171,8 @@
         report_handshake_timeout(*flow, now, out);
     }
     flow->first_packet.assign(packet.bytes.begin(), packet.bytes.end());
-    auto const attempts_before = flow->attempts;
     attempt_server(*flow, *flow_route, now, out);
-    if (flow->attempts == 0 && attempts_before == 0)
+    if (flow->attempts == 0)
     {
         flows_.remove(packet.flow);
         refuse_packet(packet, "no server", now, out);
