--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -173,9 +173,8 @@
         report_handshake_timeout(*flow, now, out);
     }
     flow->first_packet.assign(packet.bytes.begin(), packet.bytes.end());
-    auto const attempts_before = flow->attempts;
     attempt_server(*flow, *flow_route, now, out);
-    if (flow->attempts == 0 && attempts_before == 0)
+    if (flow->attempts == 0)
     {
         refuse_unplaced_flow(packet, *flow_route, *flow, now, out);
         flows_.remove(packet.flow);
