--- a/dotterelrouter/forwarder/spillover_test.cpp
+++ b/dotterelrouter/forwarder/spillover_test.cpp
@@ -85,7 +85,7 @@
 
     /// Runs with reports every 500 ms; without a number, none comes from the
     /// other data centre.
-    void run(duration length, double local, std::optional<double> remote)
+    void run_for(duration length, double local, std::optional<double> remote)
     {
         for (auto const end = now.steady + length; now.steady < end;)
         {
@@ -149,7 +149,7 @@
 
 TEST(forwarder_spillover, flows_stay_while_the_own_data_centre_has_headroom)
 {
-    run(5s, few_requests, few_requests);
+    run_for(5s, few_requests, few_requests);
     LONGS_EQUAL(0, count_leaving_flows());
     LONGS_EQUAL(0, logged_changes);
     DOUBLES_EQUAL(0, state.gauges(now).spillover_share.value(), 0);
@@ -157,7 +157,7 @@
 
 TEST(forwarder_spillover, flows_leave_an_overloaded_data_centre)
 {
-    run(5s, many_requests, few_requests);
+    run_for(5s, many_requests, few_requests);
     auto const share = state.gauges(now).spillover_share.value();
     CHECK(share > 0.1);
     DOUBLES_EQUAL(share * flow_count, count_leaving_flows(), 25);
@@ -167,24 +167,24 @@
 
 TEST(forwarder_spillover, flows_stay_while_the_other_data_centre_is_full)
 {
-    run(5s, many_requests, many_requests);
+    run_for(5s, many_requests, many_requests);
     LONGS_EQUAL(0, count_leaving_flows());
 }
 
 TEST(forwarder_spillover, flows_return_when_there_is_headroom_again)
 {
-    run(5s, many_requests, few_requests);
-    run(4s, few_requests, few_requests);
+    run_for(5s, many_requests, few_requests);
+    run_for(4s, few_requests, few_requests);
     LONGS_EQUAL(0, count_leaving_flows());
 }
 
 /// A data centre without reports may be cut off or down.
 TEST(forwarder_spillover, silent_data_centre_gets_no_flows)
 {
-    run(5s, many_requests, few_requests);
-    run(4s, many_requests, std::nullopt);
+    run_for(5s, many_requests, few_requests);
+    run_for(4s, many_requests, std::nullopt);
     LONGS_EQUAL(0, count_leaving_flows());
-    run(5s, many_requests, few_requests);
+    run_for(5s, many_requests, few_requests);
     CHECK(count_leaving_flows() > 0);
 }
 
@@ -198,16 +198,16 @@
             make_server_record(number, 11, server_state::draining, "a"));
     }
     dispatch(changes);
-    run(1s, few_requests, few_requests);
+    run_for(1s, few_requests, few_requests);
     LONGS_EQUAL(flow_count, count_leaving_flows());
     // Also before the share is updated, and without any report.
-    run(4s, few_requests, std::nullopt);
+    run_for(4s, few_requests, std::nullopt);
     LONGS_EQUAL(flow_count, count_leaving_flows());
 }
 
 TEST(forwarder_spillover, second_attempt_stays_in_the_chosen_data_centre)
 {
-    run(5s, many_requests, few_requests);
+    run_for(5s, many_requests, few_requests);
     int leaving = 0;
     for (std::uint16_t i = 0; i < 20; ++i)
     {
@@ -227,7 +227,7 @@
 
 TEST(forwarder_spillover, first_attempts_are_counted_by_data_centre)
 {
-    run(5s, many_requests, few_requests);
+    run_for(5s, many_requests, few_requests);
     for (std::uint16_t i = 0; i < flow_count; ++i)
     {
         auto const is_leaving = begin_flow() > last_local_server;
