--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -124,28 +124,14 @@
     return 2 * suspected > total;
 }
 
-std::optional<server_id> forwarder::choose_server(service const& target_service,
-                                                  placed_flow const& flow,
-                                                  instant now) const
+template <class Usable>
+std::optional<placement>
+forwarder::select_usable_server(service const& target_service,
+                                flow_key flow,
+                                Usable is_usable,
+                                bool uses_shared_load,
+                                instant now) const
 {
-    auto const is_suspicion_ignored =
-        is_majority_suspected(target_service, now);
-    auto const has_token = [&](server_id server)
-    {
-        return directory_.find_server(server)->token != route_token{};
-    };
-    auto const is_unattempted = [&](server_id server)
-    {
-        return has_token(server) && !flow.has_attempted(server);
-    };
-    auto const is_reachable = [&](server_id server)
-    {
-        auto const* const candidate = directory_.find_server(server);
-        return reachability_.is_data_centre_usable(
-                   candidate->record.data_centre, now) &&
-               (is_suspicion_ignored ||
-                reachability_.is_server_usable(server, now));
-    };
     auto const load = [&](server_id server)
     {
         auto const& record = directory_.find_server(server)->record;
@@ -157,6 +143,13 @@
     {
         return weight_of(*directory_.find_server(server), now);
     };
+    if (!uses_shared_load)
+    {
+        return select_server(target_service,
+                             flow,
+                             flow_length::single_request,
+                             candidate_servers(is_usable, load, weight));
+    }
     auto const capacity = [&](server_id server)
     {
         return weight(server) * directory_.find_server(server)->record.slots *
@@ -172,19 +165,41 @@
         return busy_slots(server, now) / capacity(server) +
                (is_unknown ? remote_data_centre_load : 0.0);
     };
+    return select_by_utilisation(
+        target_service,
+        flow,
+        candidate_servers(is_usable, utilisation, capacity));
+}
+
+std::optional<server_id> forwarder::choose_server(service const& target_service,
+                                                  placed_flow const& flow,
+                                                  instant now) const
+{
+    // Without recent reports, as after a partition, the own load decides alone.
+    auto const uses_shared_load =
+        load_sharing_ && fleet_load_.recent_reporters(now) > 0;
+    auto const is_suspicion_ignored =
+        is_majority_suspected(target_service, now);
+    auto const has_token = [&](server_id server)
+    {
+        return directory_.find_server(server)->token != route_token{};
+    };
+    auto const is_unattempted = [&](server_id server)
+    {
+        return has_token(server) && !flow.has_attempted(server);
+    };
+    auto const is_reachable = [&](server_id server)
+    {
+        auto const* const candidate = directory_.find_server(server);
+        return reachability_.is_data_centre_usable(
+                   candidate->record.data_centre, now) &&
+               (is_suspicion_ignored ||
+                reachability_.is_server_usable(server, now));
+    };
     auto const choose_among = [&](auto is_usable)
     {
-        if (load_sharing_)
-        {
-            return select_by_utilisation(
-                target_service,
-                flow.key,
-                candidate_servers(is_usable, utilisation, capacity));
-        }
-        return select_server(target_service,
-                             flow.key,
-                             flow_length::single_request,
-                             candidate_servers(is_usable, load, weight));
+        return select_usable_server(
+            target_service, flow.key, is_usable, uses_shared_load, now);
     };
     auto const is_candidate = [&](server_id server)
     {
