--- a/dotterelrouter/telemetry/forwarder_metrics.cpp
+++ b/dotterelrouter/telemetry/forwarder_metrics.cpp
@@ -3,6 +3,7 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <array>
 #include <chrono>
 #include <sstream>
 #include <string_view>
@@ -14,69 +15,38 @@
 namespace
 {
 
-std::string_view name_of(forwarder_counter id)
-{
-    switch (id)
-    {
-    case forwarder_counter::packets_received:
-        return "packets_received";
-    case forwarder_counter::packets_forwarded:
-        return "packets_forwarded";
-    case forwarder_counter::packets_malformed:
-        return "packets_malformed";
-    case forwarder_counter::packets_stale:
-        return "packets_stale";
-    case forwarder_counter::packets_unrouted:
-        return "packets_unrouted";
-    case forwarder_counter::flows_opened:
-        return "flows_opened";
-    case forwarder_counter::flows_refused:
-        return "flows_refused";
-    case forwarder_counter::flows_not_opened:
-        return "flows_not_opened";
-    case forwarder_counter::flows_unfinished:
-        return "flows_unfinished";
-    case forwarder_counter::flows_tried_again:
-        return "flows_tried_again";
-    case forwarder_counter::flows_bound:
-        return "flows_bound";
-    case forwarder_counter::packets_held:
-        return "packets_held";
-    case forwarder_counter::packets_retargeted:
-        return "packets_retargeted";
-    case forwarder_counter::packets_ambiguous:
-        return "packets_ambiguous";
-    case forwarder_counter::bindings_evicted:
-        return "bindings_evicted";
-    case forwarder_counter::flows_refused_evacuated:
-        return "flows_refused_evacuated";
-    case forwarder_counter::flows_kept_from_cold:
-        return "flows_kept_from_cold";
-    case forwarder_counter::flows_placed_local:
-        return "flows_placed_local";
-    case forwarder_counter::flows_placed_remote:
-        return "flows_placed_remote";
-    case forwarder_counter::flows_shed_urgent:
-        return "flows_shed_urgent";
-    case forwarder_counter::flows_shed_other:
-        return "flows_shed_other";
-    case forwarder_counter::load_reports_sent:
-        return "load_reports_sent";
-    case forwarder_counter::load_reports_received:
-        return "load_reports_received";
-    case forwarder_counter::load_reports_dropped:
-        return "load_reports_dropped";
-    case forwarder_counter::store_reads:
-        return "store_reads";
-    case forwarder_counter::store_failures:
-        return "store_failures";
-    case forwarder_counter::directory_updates:
-        return "directory_updates";
-    case forwarder_counter::invariants_broken:
-        return "invariants_broken";
-    }
-    return "unknown";
-}
+/// Names of the counters, in the order of `forwarder_counter`.
+constexpr std::array counter_names{
+    std::string_view{"packets_received"},
+    std::string_view{"packets_forwarded"},
+    std::string_view{"packets_malformed"},
+    std::string_view{"packets_stale"},
+    std::string_view{"packets_unrouted"},
+    std::string_view{"flows_opened"},
+    std::string_view{"flows_refused"},
+    std::string_view{"flows_not_opened"},
+    std::string_view{"flows_unfinished"},
+    std::string_view{"flows_tried_again"},
+    std::string_view{"flows_bound"},
+    std::string_view{"packets_held"},
+    std::string_view{"packets_retargeted"},
+    std::string_view{"packets_ambiguous"},
+    std::string_view{"bindings_evicted"},
+    std::string_view{"flows_refused_evacuated"},
+    std::string_view{"flows_kept_from_cold"},
+    std::string_view{"flows_placed_local"},
+    std::string_view{"flows_placed_remote"},
+    std::string_view{"flows_shed_urgent"},
+    std::string_view{"flows_shed_other"},
+    std::string_view{"load_reports_sent"},
+    std::string_view{"load_reports_received"},
+    std::string_view{"load_reports_dropped"},
+    std::string_view{"store_reads"},
+    std::string_view{"store_failures"},
+    std::string_view{"directory_updates"},
+    std::string_view{"invariants_broken"},
+};
+static_assert(counter_names.size() == forwarder_counter_count);
 
 /// Appends a metric family with one metric whose value is not set yet. The
 /// reference is valid until the next family is added.
@@ -131,8 +101,7 @@
     std::vector<prometheus::MetricFamily> families;
     for (std::size_t i = 0; i < forwarder_counter_count; ++i)
     {
-        add_counter(
-            families, name_of(static_cast<forwarder_counter>(i)), counters_[i]);
+        add_counter(families, counter_names[i], counters_[i]);
     }
     add_counter(families, "datagrams_dropped", samples.datagrams_dropped);
     add_counter(families, "log_lines_suppressed", samples.log_lines_suppressed);
