--- a/dotterelrouter/forwarder/spillover_test.cpp
+++ b/dotterelrouter/forwarder/spillover_test.cpp
@@ -117,7 +117,7 @@
         return packets.empty() ? 0 : packets.front().server_number;
     }
 
-    /// Opens and ends flows, so that no server is suspected.
+    /// Opens and ends flows, so that no server or data centre is suspected.
     void answer_flows()
     {
         constexpr int answered_flows = 30;
@@ -188,6 +188,40 @@
     CHECK(count_leaving_flows() > 0);
 }
 
+TEST(forwarder_spillover, evacuated_data_centre_gets_no_flows)
+{
+    run_for(5s, many_requests, few_requests);
+    CHECK(count_leaving_flows() > 0);
+    changes_read changes;
+    changes.update.through = {11};
+    changes.update.lists_evacuations = true;
+    changes.update.evacuations = {{.name = "b",
+                                   .data_centre = {id_from_name("b")},
+                                   .active = true,
+                                   .revision = {11}}};
+    dispatch(changes);
+    run_for(2s, many_requests, few_requests);
+    DOUBLES_EQUAL(0, state.gauges(now).spillover_share.value(), 0);
+    for (std::uint16_t i = 0; i < flow_count; ++i)
+    {
+        CHECK(begin_flow() <= last_local_server); // 0 if it is shed.
+    }
+}
+
+TEST(forwarder_spillover, all_flows_leave_an_evacuated_data_centre)
+{
+    changes_read changes;
+    changes.update.through = {11};
+    changes.update.lists_evacuations = true;
+    changes.update.evacuations = {{.name = "a",
+                                   .data_centre = {id_from_name("a")},
+                                   .active = true,
+                                   .revision = {11}}};
+    dispatch(changes);
+    run_for(1s, few_requests, few_requests);
+    LONGS_EQUAL(flow_count, count_leaving_flows());
+}
+
 TEST(forwarder_spillover, all_flows_leave_without_a_local_server)
 {
     changes_read changes;
@@ -209,9 +243,17 @@
 {
     run_for(5s, many_requests, few_requests);
     int leaving = 0;
-    for (std::uint16_t i = 0; i < 20; ++i)
+    int checked = 0;
+    while (checked < 20)
     {
+        // Flows that are shed have no attempt.
         auto const first = begin_flow();
+        if (first == 0)
+        {
+            run_for(500ms, many_requests, few_requests);
+            continue;
+        }
+        ++checked;
         advance(25ms);
         auto const packets = effects_of_type<forward_packet>(out);
         LONGS_EQUAL(1, packets.size());
@@ -219,8 +261,16 @@
         CHECK(second != first);
         LONGS_EQUAL(first > last_local_server, second > last_local_server);
         leaving += first > last_local_server ? 1 : 0;
-        advance(50ms); // The last attempt.
+        // The flow opens there, so that no data centre is suspected.
+        auto const key =
+            make_flow_key(static_cast<std::uint16_t>(next_port - 1));
+        auto const token =
+            testing::token_of_server(static_cast<std::uint32_t>(second));
+        dispatch(make_packet_arrived(key, packet_type::data, token));
+        dispatch(make_packet_arrived(key, packet_type::close, token));
         answer_flows();
+        // Until then the server that did not answer counts as full.
+        run_for(500ms, many_requests, few_requests);
     }
     CHECK(leaving > 0);
 }
