--- a/dotterelrouter/forwarding/internal/effects.hpp
+++ b/dotterelrouter/forwarding/internal/effects.hpp
@@ -149,7 +149,7 @@
     std::string_view reason{}; ///< A string literal, since it is not copied.
     std::optional<std::uint64_t> version{};   ///< Version of the routes.
     std::optional<store_revision> revision{}; ///< Of the entry or directory.
-    std::optional<duration> age{};        ///< Directory age or elapsed time.
+    std::optional<duration> age{}; ///< Directory age or elapsed time.
     /// Open flows of the server; `shedding_changed`: pressure in percent.
     std::optional<std::uint32_t> load{};
     /// Attempts, entries or seeds; `shedding_changed`: admitted share of the
