--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -149,6 +149,12 @@
     void on_first_packet(caller_packet const& packet,
                          instant now,
                          forwarder_effects& out);
+    /// Forwards a copy of an open flow's first packet to its server, if that
+    /// may get first packets now.
+    void forward_copy(internal::placed_flow const& flow,
+                      caller_packet const& packet,
+                      instant now,
+                      forwarder_effects& out);
     /// Adds the flow that a first packet begins to the flow table.
     internal::placed_flow&
     add_flow(caller_packet const& packet, route const& flow_route, instant now);
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -156,12 +156,7 @@
     flow->arrived_after = earliest_arrival(now);
     if (flow->opened)
     {
-        auto const* const server = directory_.find_server(flow->server);
-        if (server != nullptr && accepts_first_packets(*server) &&
-            !drop_or_count_copy(*server, now))
-        {
-            forward_to(*server, packet.bytes, later_token_of(*server), out);
-        }
+        forward_copy(*flow, packet, now, out);
         return;
     }
     if (flow->awaits_binding)
@@ -181,6 +176,19 @@
     }
 }
 
+void forwarder::forward_copy(placed_flow const& flow,
+                             caller_packet const& packet,
+                             instant now,
+                             forwarder_effects& out)
+{
+    auto const* const server = directory_.find_server(flow.server);
+    if (server != nullptr && accepts_first_packets(*server) &&
+        !drop_or_count_copy(*server, now))
+    {
+        forward_to(*server, packet.bytes, later_token_of(*server), out);
+    }
+}
+
 placed_flow& forwarder::add_flow(caller_packet const& packet,
                                  route const& flow_route,
                                  instant now)
