--- a/dotterelrouter/directory/tokens_test.cpp
+++ b/dotterelrouter/directory/tokens_test.cpp
@@ -3,6 +3,7 @@
 #include "testing/forwarding/name_pairs.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -88,7 +89,9 @@
 TEST(tokens, names_that_share_the_first_token_do_not_share_the_second)
 {
     constexpr std::size_t min_pairs = 20;
-    for (std::size_t const name_size : {6, 8, 10, 12, 16, 20, 28, 40})
+    constexpr std::array<std::size_t, 8> name_sizes{
+        6, 8, 10, 12, 16, 20, 28, 40};
+    for (auto const name_size : name_sizes)
     {
         name_list const names{name_size};
         auto const pairs = pairs_with_one_first_token(names);
