Let only those confirm a token who would have been told of a binding

Cause: a binding went to three keepers of the own data centre and one of all others together; a forwarder elsewhere asked three of its own and one of all others. If that one was among the lost, keepers that had never been told confirmed the token: may_know_more compared start times only.

Change: one keeper in each other data centre, the same for all forwarders, and the responder says whether its "not bound" counts (flow_authority): it has run for the lifetime of flows, no forwarder of its data centre was to be told in its place, and no binding may be on its way to it. may_know_more is gone.

--- a/dotterelrouter/bindings/binding_messages.cpp
+++ b/dotterelrouter/bindings/binding_messages.cpp
@@ -19,9 +19,6 @@
 /// so that it fits into a datagram.
 constexpr std::size_t max_bindings_per_message = 24;
 constexpr std::size_t max_name_bytes_per_message = 384;
-/// Forwarders whose starts lie less than this apart count as started together:
-/// hardly a flow is bound in between.
-constexpr duration max_start_difference = std::chrono::seconds{1};
 
 /// Returns how many of these bindings go into one message; at least one.
 std::size_t count_that_fit(std::span<flow_binding const> bindings)
@@ -83,7 +80,7 @@
         }
         if (message.is_response)
         {
-            if (on_response(received, from, now))
+            if (on_response(received, from))
             {
                 announce_confirmed(received.flow, now, out);
             }
@@ -120,18 +117,20 @@
     {
         auto& bound = found->second;
         mark_informed(bound, from);
-        bound.is_settled |=
-            !received.is_proposal && bound.binding.server == received.server;
+        bound.is_settled |= (!received.is_proposal &&
+                             bound.binding.server == received.server) ||
+                            authority_.may_deny(received.flow, now);
         return to_message(bound, now);
     }
     auto& bound = insert(received, bound_at, now, out);
     // The sender informs the other keepers. This forwarder does so only once
     // there are others than now.
     bound.informed = keeper_runs(received.flow);
-    bound.is_settled = !received.is_proposal;
-    bound.is_foreign_proposal = received.is_proposal;
+    bound.is_settled =
+        !received.is_proposal || authority_.may_deny(received.flow, now);
+    bound.is_foreign_proposal = !bound.is_settled;
     mark_informed(bound, from);
-    return received;
+    return to_message(bound, now);
 }
 
 bool binding_table::on_answer(flow_binding const& answer,
@@ -157,9 +156,7 @@
     return true;
 }
 
-bool binding_table::on_response(flow_binding const& held,
-                                endpoint from,
-                                instant now)
+bool binding_table::on_response(flow_binding const& held, endpoint from)
 {
     auto const found = entries_.find(held.flow);
     if (found == entries_.end() || held.server.empty())
@@ -168,8 +165,7 @@
     }
     auto& bound = found->second;
     auto const was_settled = bound.is_settled;
-    bound.is_settled |=
-        !held.is_proposal || !may_know_more(bound.unconfirmed, from, now);
+    bound.is_settled |= !held.is_proposal;
     if (is_same_flow(bound.binding, held) &&
         bound.binding.server != held.server)
     {
@@ -188,27 +184,6 @@
     return bound.is_settled && !was_settled && is_own_proposal;
 }
 
-bool binding_table::may_know_more(std::span<peer_run const> silent_keepers,
-                                  endpoint responder,
-                                  instant now) const
-{
-    auto const* const responding = find_forwarder(responder);
-    if (responding == nullptr ||
-        now.steady - responding->started_at >= settings_.flow_lifetime)
-    {
-        return responding == nullptr;
-    }
-    return std::ranges::any_of(
-        silent_keepers,
-        [&](peer_run const& keeper)
-        {
-            auto const* const silent = find_forwarder(keeper.address);
-            return silent != nullptr &&
-                   silent->started_at + max_start_difference <
-                       responding->started_at;
-        });
-}
-
 void binding_table::announce_confirmed(flow_key flow,
                                        instant now,
                                        forwarder_effects& out)
--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -57,14 +57,16 @@
     return difference < max_flow_bytes || 0U - difference < max_flow_bytes;
 }
 
-void binding_table::set_forwarders(std::vector<live_forwarder> forwarders,
+void binding_table::set_forwarders(std::vector<live_forwarder> live,
+                                   std::vector<former_forwarder> former,
                                    instant now)
 {
-    if (forwarders == forwarders_)
+    auto const is_unchanged = std::ranges::equal(live, authority_.forwarders());
+    authority_.set_forwarders(std::move(live), std::move(former), now);
+    if (is_unchanged)
     {
         return;
     }
-    forwarders_ = std::move(forwarders);
     std::size_t scheduled = 0;
     for (auto& [flow, bound] : entries_)
     {
@@ -181,7 +183,7 @@
         asked.unanswered_keepers.push_back(keeper.address);
     }
     asked.unanswered = asked.unanswered_keepers;
-    for (auto const& other : forwarders_)
+    for (auto const& other : authority_.forwarders())
     {
         if (other.data_centre == settings_.data_centre &&
             std::ranges::count(asked.unanswered, other.heartbeat_endpoint) == 0)
@@ -348,7 +350,7 @@
 {
     std::vector<peer_run> runs;
     for (auto const& keeper :
-         keepers_of(flow, forwarders_, settings_.data_centre))
+         keepers_of(flow, authority_.forwarders(), settings_.data_centre))
     {
         runs.push_back({keeper.heartbeat_endpoint, keeper.incarnation});
     }
@@ -357,9 +359,10 @@
 
 live_forwarder const* binding_table::find_forwarder(endpoint address) const
 {
+    auto const forwarders = authority_.forwarders();
     auto const found = std::ranges::find(
-        forwarders_, address, &live_forwarder::heartbeat_endpoint);
-    return found == forwarders_.end() ? nullptr : &*found;
+        forwarders, address, &live_forwarder::heartbeat_endpoint);
+    return found == forwarders.end() ? nullptr : &*found;
 }
 
 bool binding_table::remove_oldest(steady_time due)
--- /dev/null
+++ b/dotterelrouter/bindings/flow_authority.cpp
@@ -0,0 +1,112 @@
+#include "dotterelrouter/bindings/internal/flow_authority.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterelrouter
+{
+namespace
+{
+
+/// Whether a forwarder that is not among the live ones was a keeper after a
+/// time, and its bindings may not have reached the next one in rank.
+bool was_keeper_since(former_forwarder const& former,
+                      steady_time since,
+                      instant now)
+{
+    if (former.live && former.draining_since)
+    {
+        return now.steady - *former.draining_since < handover_period;
+    }
+    auto const left_orderly =
+        former.draining_since &&
+        former.last_heard_at - *former.draining_since >= handover_period;
+    // Forwarders that held its bindings may have been lost with it.
+    return !left_orderly && former.last_heard_at + handover_period >= since;
+}
+
+} // namespace
+
+void flow_authority::on_started(bool is_first_start, instant now)
+{
+    started_at_ = now.steady;
+    is_first_start_ = is_first_start;
+}
+
+void flow_authority::on_resumed(instant now)
+{
+    rejoined_at_ = now.steady;
+}
+
+void flow_authority::set_forwarders(std::vector<live_forwarder> live,
+                                    std::vector<former_forwarder> former,
+                                    instant now)
+{
+    auto const was_away = [&](live_forwarder const& forwarder)
+    {
+        auto const is_known = std::ranges::any_of(
+            live_,
+            [&](live_forwarder const& known)
+            {
+                return known.heartbeat_endpoint ==
+                           forwarder.heartbeat_endpoint &&
+                       known.incarnation == forwarder.incarnation;
+            });
+        return !is_known &&
+               now.steady - forwarder.started_at >= handover_period;
+    };
+    if (std::ranges::any_of(live, was_away))
+    {
+        rejoined_at_ = now.steady;
+    }
+    live_ = std::move(live);
+    former_ = std::move(former);
+}
+
+bool flow_authority::may_deny(flow_key flow, instant now) const
+{
+    auto const since = now.steady - settings_.flow_lifetime;
+    return has_run_since(since) && !may_lack_bindings(now) &&
+           preceding_keepers(flow, since, now) < common_keeper_count();
+}
+
+bool flow_authority::has_run_since(steady_time time) const
+{
+    return started_at_ && (is_first_start_ || *started_at_ <= time);
+}
+
+bool flow_authority::may_lack_bindings(instant now) const
+{
+    return rejoined_at_ && now.steady - *rejoined_at_ < handover_period;
+}
+
+std::size_t flow_authority::preceding_keepers(flow_key flow,
+                                              steady_time since,
+                                              instant now) const
+{
+    auto const own_rank = keeper_rank(flow, settings_.self);
+    auto const precedes = [&](auto const& other)
+    {
+        return other.data_centre == settings_.data_centre &&
+               keeper_rank(flow, other.heartbeat_endpoint) > own_rank;
+    };
+    auto const preceded = [&](former_forwarder const& former)
+    {
+        return precedes(former) && was_keeper_since(former, since, now);
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(live_, precedes) +
+                                    std::ranges::count_if(former_, preceded));
+}
+
+std::size_t flow_authority::common_keeper_count() const
+{
+    auto const is_elsewhere = [&](auto const& other)
+    {
+        return other.data_centre != settings_.data_centre;
+    };
+    auto const spans_data_centres = std::ranges::any_of(live_, is_elsewhere) ||
+                                    std::ranges::any_of(former_, is_elsewhere);
+    return spans_data_centres ? remote_keeper_count : own_keeper_count;
+}
+
+} // namespace dotterelrouter
--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -2,6 +2,7 @@
 // "dotterelrouter/bindings/bindings.hpp".
 #pragma once
 
+#include "dotterelrouter/bindings/internal/flow_authority.hpp"
 #include "dotterelrouter/forwarding/forwarding.hpp"
 
 #include <cstddef>
@@ -31,6 +32,7 @@
 /// Settings of a binding table.
 struct binding_table_settings
 {
+    endpoint self{};              ///< Where this forwarder receives heartbeats.
     data_centre_id data_centre{}; ///< Of this forwarder.
     /// Age from which a flow may be discarded, and its binding with it.
     duration flow_lifetime = std::chrono::seconds{60};
@@ -54,13 +56,32 @@
 {
 public:
     explicit binding_table(binding_table_settings settings)
-        : settings_(settings)
+        : settings_(settings),
+          authority_({.self = settings.self,
+                      .data_centre = settings.data_centre,
+                      .flow_lifetime = settings.flow_lifetime})
     {
     }
 
-    /// Sets the other forwarders that are live. Bindings are sent to those that
-    /// are keepers now and were not before, when on_timer is due next.
-    void set_forwarders(std::vector<live_forwarder> forwarders, instant now);
+    /// Records the start of this process. Until then it doesn't confirm the
+    /// proposals of others.
+    void on_started(bool is_first_start, instant now)
+    {
+        authority_.on_started(is_first_start, now);
+    }
+
+    /// Records that this process did not run for a while until now.
+    void on_resumed(instant now)
+    {
+        authority_.on_resumed(now);
+    }
+
+    /// Sets the other forwarders that are live, and those that were within the
+    /// lifetime of flows. Bindings are sent to those that are keepers now and
+    /// were not before, when on_timer is due next.
+    void set_forwarders(std::vector<live_forwarder> live,
+                        std::vector<former_forwarder> former,
+                        instant now);
 
     /// Returns the name of the server to which the flow of a packet is bound,
     /// if it is. A first packet belongs to a bound flow if it began that flow.
@@ -212,12 +233,7 @@
                        forwarder_effects& out);
     /// Returns whether the response confirms a binding that this forwarder
     /// proposed.
-    bool on_response(flow_binding const& held, endpoint from, instant now);
-    /// Whether a keeper that has not responded may know of a binding that a
-    /// forwarder does not know of.
-    [[nodiscard]] bool may_know_more(std::span<peer_run const> silent_keepers,
-                                     endpoint responder,
-                                     instant now) const;
+    bool on_response(flow_binding const& held, endpoint from);
     [[nodiscard]] live_forwarder const* find_forwarder(endpoint address) const;
     /// Tells the keepers that the binding of a flow is confirmed.
     void announce_confirmed(flow_key flow, instant now, forwarder_effects& out);
@@ -244,7 +260,7 @@
     bool remove_oldest(steady_time due);
 
     binding_table_settings settings_;
-    std::vector<live_forwarder> forwarders_{};
+    flow_authority authority_;
     std::unordered_map<flow_key, entry> entries_{};
     std::unordered_map<flow_key, question> questions_{};
     std::priority_queue<keeper_check, std::vector<keeper_check>, std::greater<>>
--- /dev/null
+++ b/dotterelrouter/bindings/internal/flow_authority.hpp
@@ -0,0 +1,99 @@
+// Who may say where a flow is open. Include
+// "dotterelrouter/bindings/bindings.hpp".
+//
+//     flow_authority authority({.self = address, .data_centre = own, ...});
+//     authority.on_started(is_first_start, now);
+//     authority.set_forwarders(live, former, now);
+//     if (authority.may_deny(flow, now))
+//     {
+//         respond that no other server has the flow
+//     }
+//
+// An opening token proves one thing: its server has received the first packet
+// of the flow. It may be followed only if somebody can say that no other server
+// has the flow. A binding says where a flow is open, whoever holds it. That a
+// forwarder holds none says something only if it would have been told of one.
+#pragma once
+
+#include "dotterelrouter/bindings/internal/keepers.hpp"
+#include "dotterelrouter/forwarding/forwarding.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace dotterelrouter
+{
+
+/// Time after a forwarder is lost, returns or leaves within which holders have
+/// sent their bindings to the forwarders that became keepers by that.
+inline constexpr duration handover_period = std::chrono::seconds{2};
+
+/// Identity of a forwarder, and what it has to remember.
+struct flow_authority_settings
+{
+    endpoint self{}; ///< Where it receives heartbeats.
+    data_centre_id data_centre{};
+    duration flow_lifetime = std::chrono::seconds{60};
+};
+
+/// Decides whether a forwarder would know of the binding of a flow.
+class flow_authority
+{
+public:
+    explicit flow_authority(flow_authority_settings settings)
+        : settings_(settings)
+    {
+    }
+
+    /// Records the start of this process. At the first start of the whole
+    /// fleet, no flow can have opened before. Until then it speaks for no flow.
+    void on_started(bool is_first_start, instant now);
+
+    /// Records that this process did not run for a while until now, so that
+    /// bindings may be on their way to it.
+    void on_resumed(instant now);
+
+    /// Replaces what is known of the other forwarders: those that are live, and
+    /// those that were within the lifetime of flows.
+    void set_forwarders(std::vector<live_forwarder> live,
+                        std::vector<former_forwarder> former,
+                        instant now);
+
+    /// The other forwarders that are live.
+    [[nodiscard]] std::span<live_forwarder const> forwarders() const
+    {
+        return live_;
+    }
+
+    /// Whether this forwarder would have been told of the binding of a flow, if
+    /// the flow had been bound anywhere within its lifetime: it has run for
+    /// that long, and was a keeper of the flow for all forwarders all the time.
+    /// Linear in the number of forwarders.
+    [[nodiscard]] bool may_deny(flow_key flow, instant now) const;
+
+private:
+    /// Whether this process ran already at a time, or nothing did before it.
+    [[nodiscard]] bool has_run_since(steady_time time) const;
+    /// Whether bindings may be on their way to this forwarder that others hold.
+    [[nodiscard]] bool may_lack_bindings(instant now) const;
+    /// Number of forwarders in this data centre that were keepers rather than
+    /// this one, now or since a time.
+    [[nodiscard]] std::size_t
+    preceding_keepers(flow_key flow, steady_time since, instant now) const;
+    /// Number of forwarders of this data centre that all others inform of a
+    /// flow's binding.
+    [[nodiscard]] std::size_t common_keeper_count() const;
+
+    flow_authority_settings settings_;
+    std::vector<live_forwarder> live_{};
+    std::vector<former_forwarder> former_{};
+    std::optional<steady_time> started_at_{};
+    bool is_first_start_ = false;
+    /// When this process last resumed, or a forwarder returned that was away.
+    std::optional<steady_time> rejoined_at_{};
+};
+
+} // namespace dotterelrouter
--- a/dotterelrouter/bindings/keepers.cpp
+++ b/dotterelrouter/bindings/keepers.cpp
@@ -1,7 +1,7 @@
 #include "dotterelrouter/bindings/internal/keepers.hpp"
 
 #include <algorithm>
-#include <cstdint>
+#include <map>
 
 namespace dotterelrouter
 {
@@ -15,11 +15,6 @@
     live_forwarder forwarder{};
 };
 
-std::uint64_t rank_of(flow_key flow, live_forwarder const& candidate)
-{
-    return mix(hash_of(flow) ^ mix(hash_of(candidate.heartbeat_endpoint)));
-}
-
 /// Adds a candidate to at most `max_count` keepers if it ranks high enough.
 void add_if_highest(std::vector<ranked_keeper>& keepers,
                     ranked_keeper const& candidate,
@@ -40,31 +35,32 @@
 
 } // namespace
 
+std::uint64_t keeper_rank(flow_key flow, endpoint forwarder)
+{
+    return mix(hash_of(flow) ^ mix(hash_of(forwarder)));
+}
+
 std::vector<live_forwarder>
 keepers_of(flow_key flow,
            std::span<live_forwarder const> candidates,
            data_centre_id own_data_centre)
 {
-    std::vector<ranked_keeper> own;
-    std::vector<ranked_keeper> remote;
+    std::map<data_centre_id, std::vector<ranked_keeper>> chosen;
     for (auto const& candidate : candidates)
     {
-        ranked_keeper const next{rank_of(flow, candidate), candidate};
-        if (candidate.data_centre == own_data_centre)
-        {
-            add_if_highest(own, next, own_keeper_count);
-        }
-        else
-        {
-            add_if_highest(remote, next, remote_keeper_count);
-        }
+        auto const is_own = candidate.data_centre == own_data_centre;
+        add_if_highest(
+            chosen[candidate.data_centre],
+            {keeper_rank(flow, candidate.heartbeat_endpoint), candidate},
+            is_own ? own_keeper_count : remote_keeper_count);
     }
-    own.insert(own.end(), remote.begin(), remote.end());
     std::vector<live_forwarder> keepers;
-    keepers.reserve(own.size());
-    for (auto const& keeper : own)
+    for (auto const& [data_centre, ranked] : chosen)
     {
-        keepers.push_back(keeper.forwarder);
+        for (auto const& keeper : ranked)
+        {
+            keepers.push_back(keeper.forwarder);
+        }
     }
     return keepers;
 }
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -50,6 +50,7 @@
 
 forwarder::forwarder(forwarder_settings settings)
     : data_centre_{id_from_name(settings.data_centre)},
+      flow_lifetime_(settings.flow_lifetime),
       incarnation_(settings.incarnation), directory_(settings.token_hash_bits),
       peers_({.self = settings.heartbeat_endpoint,
               .data_centre = data_centre_,
@@ -63,7 +64,8 @@
       spillover_(
           data_centre_,
           load_sharing_.value_or(load_sharing_settings{}).remote_flow_cost),
-      bindings_({.data_centre = data_centre_,
+      bindings_({.self = settings.heartbeat_endpoint,
+                 .data_centre = data_centre_,
                  .flow_lifetime = settings.flow_lifetime}),
       expects_evacuations_(settings.expects_evacuations),
       is_first_start_(settings.is_first_start)
@@ -92,6 +94,7 @@
         last_event_at_ = now.steady;
         // The socket is older than the first event by an unknown time.
         queue_ends_at_ = now.steady + internal::resume_grace_period;
+        bindings_.on_started(is_first_start_, now);
         if (cold_budget_)
         {
             cold_budget_->on_started(now);
@@ -126,6 +129,7 @@
     {
         resumed_at_ = now.steady;
         last_pause_ = pause;
+        bindings_.on_resumed(now);
         if (cold_budget_)
         {
             cold_budget_->on_resumed(pause, now);
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -482,6 +482,7 @@
     void arm_timer(instant now, forwarder_effects& out);
 
     data_centre_id data_centre_{};
+    duration flow_lifetime_; ///< See forwarder_settings.
     std::uint64_t incarnation_{};
     directory directory_;
     freshness freshness_;
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -299,7 +299,9 @@
     if (peers_.live_forwarders_version() != keepers_version_)
     {
         keepers_version_ = peers_.live_forwarders_version();
-        bindings_.set_forwarders(peers_.live_forwarders(), now);
+        bindings_.set_forwarders(peers_.live_forwarders(),
+                                 peers_.former_forwarders(flow_lifetime_, now),
+                                 now);
     }
 }
 
--- a/dotterelrouter/forwarding/internal/messages.hpp
+++ b/dotterelrouter/forwarding/internal/messages.hpp
@@ -42,6 +42,20 @@
     friend bool operator==(live_forwarder, live_forwarder) = default;
 };
 
+/// Another forwarder that was live and is silent now, or that is shutting down.
+struct former_forwarder
+{
+    endpoint heartbeat_endpoint{};
+    data_centre_id data_centre{};
+    bool live = false; ///< A heartbeat was received recently enough.
+    steady_time last_heard_at{};
+    /// When it announced its shutdown; empty if it did not.
+    std::optional<steady_time> draining_since{};
+
+    friend bool operator==(former_forwarder const&,
+                           former_forwarder const&) = default;
+};
+
 /// Another forwarder of the own data centre, whether or not it is still live.
 struct local_forwarder
 {
--- a/dotterelrouter/replication/internal/peers.hpp
+++ b/dotterelrouter/replication/internal/peers.hpp
@@ -146,6 +146,12 @@
     /// Returns the live peers that are not shutting down, by address.
     [[nodiscard]] std::vector<live_forwarder> live_forwarders() const;
 
+    /// Returns the peers that were heard within `period` and are not among
+    /// live_forwarders(), by address. Linear in the number of peers; those that
+    /// were silent for longer than two minutes may be missing.
+    [[nodiscard]] std::vector<former_forwarder>
+    former_forwarders(duration period, instant now) const;
+
     /// Returns what is known of the other forwarders in this data centre.
     /// Linear in the number of peers.
     [[nodiscard]] local_fleet known_local_fleet(instant now) const;
--- a/dotterelrouter/replication/peers.cpp
+++ b/dotterelrouter/replication/peers.cpp
@@ -605,6 +605,29 @@
     return forwarders;
 }
 
+std::vector<former_forwarder> peers::former_forwarders(duration period,
+                                                       instant now) const
+{
+    std::vector<former_forwarder> forwarders;
+    for (auto const& [address, state] : peers_)
+    {
+        auto const is_recent =
+            state.last_heard_at && now.steady - *state.last_heard_at <= period;
+        if (is_recent && (!state.live || state.draining))
+        {
+            forwarders.push_back(
+                {.heartbeat_endpoint = address,
+                 .data_centre = state.data_centre,
+                 .live = state.live,
+                 .last_heard_at = *state.last_heard_at,
+                 .draining_since = state.draining
+                                       ? std::optional{state.draining_since}
+                                       : std::nullopt});
+        }
+    }
+    return forwarders;
+}
+
 local_fleet peers::known_local_fleet(instant now) const
 {
     auto const local = make_rotation(true);
--- a/testing/forwarding/forwarder_group.cpp
+++ b/testing/forwarding/forwarder_group.cpp
@@ -1,6 +1,7 @@
 #include "testing/forwarding/forwarder_group.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace dotterelrouter::testing
 {
@@ -12,6 +13,29 @@
 constexpr duration message_delay = 500us;
 constexpr std::uint32_t handshake_sequence = 500000;
 
+constexpr unsigned bits_per_byte = 8;
+
+/// Returns the bytes of the packets from a port. They have static storage
+/// duration.
+byte_view bytes_of_port(std::uint16_t port)
+{
+    constexpr std::size_t port_count = 65536;
+    static std::array<std::array<std::byte, 2>, port_count> bytes{};
+    bytes[port] = {static_cast<std::byte>(port >> bits_per_byte),
+                   static_cast<std::byte>(port)};
+    return bytes[port];
+}
+
+/// Returns the port of a packet with such bytes; 0 if it has others.
+std::uint16_t port_of(byte_view bytes)
+{
+    return bytes.size() == 2
+               ? static_cast<std::uint16_t>(std::to_integer<unsigned>(bytes[0])
+                                                << bits_per_byte |
+                                            std::to_integer<unsigned>(bytes[1]))
+               : std::uint16_t{0};
+}
+
 /// Returns records of the servers 1 to `count`.
 std::vector<server_record> make_server_records(std::uint32_t count)
 {
@@ -169,6 +193,7 @@
     auto arrived =
         make_packet_arrived(make_flow_key(port), packet_type::open, {}, copies);
     arrived.packet.sequence = group_first_sequence;
+    arrived.packet.bytes = bytes_of_port(port);
     return arrived;
 }
 
@@ -178,6 +203,7 @@
     auto arrived = make_packet_arrived(
         make_flow_key(port), packet_type::data, token, handshake_sequence);
     arrived.packet.sequence = group_first_sequence + 1;
+    arrived.packet.bytes = bytes_of_port(port);
     return arrived;
 }
 
@@ -192,6 +218,7 @@
                             handshake_sequence + earlier_response_size);
     arrived.packet.sequence = group_first_sequence + 1 + earlier_request_size;
     arrived.packet.data_size = earlier_request_size;
+    arrived.packet.bytes = bytes_of_port(port);
     return arrived;
 }
 
@@ -298,7 +325,8 @@
 void forwarder_group::execute(std::size_t index,
                               forward_packet const& requested_effect)
 {
-    forwarding_records_.push_back({now_.steady, index});
+    forwarding_records_.push_back(
+        {now_.steady, index, port_of(requested_effect.bytes)});
     forwarded_.push_back(requested_effect);
     forwarded_.back().bytes = {};
 }
--- a/testing/forwarding/forwarder_group.hpp
+++ b/testing/forwarding/forwarder_group.hpp
@@ -28,11 +28,13 @@
 /// Sequence number of the first packet of all flows of a group.
 inline constexpr std::uint32_t group_first_sequence = 1000;
 
-/// When a packet was forwarded to a server, and by which forwarder.
+/// When a packet was forwarded to a server, by which forwarder, and of which
+/// caller.
 struct forwarding_record
 {
     steady_time sent_at{};
     std::size_t forwarder = 0;
+    std::uint16_t port = 0;
 };
 
 /// What a group declares of its service, and how it limits cold servers.
@@ -166,7 +168,7 @@
         return forwarded_;
     }
 
-    /// When and by which forwarder each of these packets was forwarded.
+    /// When, by which forwarder and for whom each of these was forwarded.
     [[nodiscard]] std::span<forwarding_record const> forwarding_records() const
     {
         return forwarding_records_;
