Follow an opening token only if somebody could know better

Cause: a proposal counted as confirmed once all keepers had responded, even if all of them had just started, and was followed without any response after 1 s. Nobody asked whether anyone could have known the flow.

Change: a token is followed if a binding says so, if the forwarder that placed the flow says so, or if one responds that would have been told of a binding. If no keeper can tell, the possible placers are asked, those that shut down included. A placer also tells when the flow can have opened, so that keepers that have run since then can speak for it. Else packets are dropped, counted (packets_unconfirmed), and looked up again when the caller sends them again.

Tests changed: in flow_opened_through_another_forwarder_stays_on_first_server the other forwarder's response was a copy of the proposal, so that nobody had said that the flow is open there; it now says so. Messages carry 20 bindings at most, not 24, as each may have one more field.

--- a/dotterelrouter/bindings/binding_messages.cpp
+++ b/dotterelrouter/bindings/binding_messages.cpp
@@ -17,7 +17,7 @@
 
 /// Maximum number of bindings in a message, and of bytes of the names in them,
 /// so that it fits into a datagram.
-constexpr std::size_t max_bindings_per_message = 24;
+constexpr std::size_t max_bindings_per_message = 20;
 constexpr std::size_t max_name_bytes_per_message = 384;
 
 /// Returns how many of these bindings go into one message; at least one.
@@ -80,7 +80,7 @@
         }
         if (message.is_response)
         {
-            if (on_response(received, from))
+            if (on_response(received, from, now, out))
             {
                 announce_confirmed(received.flow, now, out);
             }
@@ -113,21 +113,26 @@
     auto const is_held = found != entries_.end() &&
                          (is_same_flow(found->second.binding, received) ||
                           found->second.bound_at > bound_at);
+    auto const opened_after =
+        received.age_limit
+            ? std::optional{steady_time{now.steady - *received.age_limit}}
+            : std::nullopt;
     if (is_held)
     {
         auto& bound = found->second;
         mark_informed(bound, from);
-        bound.is_settled |= (!received.is_proposal &&
-                             bound.binding.server == received.server) ||
-                            authority_.may_deny(received.flow, now);
+        limit_age(bound, opened_after);
+        auto const is_confirmed =
+            !received.is_proposal && bound.binding.server == received.server;
+        bound.is_settled |= is_confirmed || is_known(bound, now);
         return to_message(bound, now);
     }
     auto& bound = insert(received, bound_at, now, out);
+    limit_age(bound, opened_after);
     // The sender informs the other keepers. This forwarder does so only once
     // there are others than now.
     bound.informed = keeper_runs(received.flow);
-    bound.is_settled =
-        !received.is_proposal || authority_.may_deny(received.flow, now);
+    bound.is_settled = !received.is_proposal || is_known(bound, now);
     bound.is_foreign_proposal = !bound.is_settled;
     mark_informed(bound, from);
     return to_message(bound, now);
@@ -156,7 +161,10 @@
     return true;
 }
 
-bool binding_table::on_response(flow_binding const& held, endpoint from)
+bool binding_table::on_response(flow_binding const& held,
+                                endpoint from,
+                                instant now,
+                                forwarder_effects& out)
 {
     auto const found = entries_.find(held.flow);
     if (found == entries_.end() || held.server.empty())
@@ -178,12 +186,34 @@
                   {
                       return keeper.address == from;
                   });
-    bound.is_settled |= bound.unconfirmed.empty();
+    std::erase(bound.unanswered, from);
+    if (bound.unconfirmed.empty())
+    {
+        bound.is_settled |= is_known(bound, now);
+        outgoing messages;
+        ask_placers(bound, now, messages);
+        send_outgoing(messages, out);
+    }
+    ask_again_with_age(bound, held, now, out);
     auto const is_own_proposal = !bound.is_foreign_proposal;
     bound.is_foreign_proposal &= !bound.is_settled;
     return bound.is_settled && !was_settled && is_own_proposal;
 }
 
+void binding_table::ask_again_with_age(entry& bound,
+                                       flow_binding const& held,
+                                       instant now,
+                                       forwarder_effects& out)
+{
+    if (!held.age_limit || bound.opened_after || bound.is_settled)
+    {
+        return;
+    }
+    bound.opened_after = now.steady - *held.age_limit;
+    bound.informed.clear();
+    send_now(bound, now, out);
+}
+
 void binding_table::announce_confirmed(flow_key flow,
                                        instant now,
                                        forwarder_effects& out)
@@ -211,6 +241,7 @@
     bound.bound_at = bound_at;
     // Keepers may hold the later binding.
     bound.informed.clear();
+    bound.is_own_word = false;
     bound.is_settled = !other.is_proposal;
     bound.is_foreign_proposal = false;
     schedule_check(bound, now.steady);
--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -24,6 +24,9 @@
 /// packets.
 constexpr std::size_t max_checks_per_step = 64;
 constexpr duration check_step = std::chrono::milliseconds{10};
+/// Number of flows in a step whose possible placers are asked as their keepers
+/// don't respond.
+constexpr std::size_t max_late_lookups_per_step = 8;
 /// Number of questions from which old ones are removed.
 constexpr std::size_t max_questions = 1024;
 /// Bytes that a flow transfers at most in its lifetime, in either direction.
@@ -91,7 +94,11 @@
     auto binding = bound.binding;
     binding.age =
         std::max(duration::zero(), duration{now.steady - bound.bound_at});
-    binding.is_proposal = !bound.is_settled;
+    binding.is_proposal = !bound.is_settled && !bound.is_own_word;
+    if (bound.opened_after)
+    {
+        binding.age_limit = duration{now.steady - *bound.opened_after};
+    }
     return binding;
 }
 
@@ -110,7 +117,8 @@
                          std::string_view server,
                          binding_basis basis,
                          instant now,
-                         forwarder_effects& out)
+                         forwarder_effects& out,
+                         std::optional<steady_time> opened_after)
 {
     if (find(packet))
     {
@@ -124,7 +132,8 @@
                          now,
                          out);
     bound.is_settled = basis == binding_basis::seen_open;
-    send_now(bound, now, out);
+    limit_age(bound, opened_after);
+    look_up(bound, now, out);
 }
 
 bool binding_table::bind(flow_binding const& binding,
@@ -142,32 +151,116 @@
     return true;
 }
 
+void binding_table::vouch_for(flow_binding const& proposal,
+                              instant now,
+                              forwarder_effects& out)
+{
+    auto const found = entries_.find(proposal.flow);
+    auto const is_bound = found != entries_.end() &&
+                          is_same_flow(found->second.binding, proposal);
+    if (is_bound && found->second.binding.server != proposal.server)
+    {
+        return;
+    }
+    auto& bound = is_bound
+                      ? found->second
+                      : insert(proposal, now.steady - proposal.age, now, out);
+    bound.informed = keeper_runs(proposal.flow);
+    bound.is_settled = true;
+    bound.is_foreign_proposal = false;
+}
+
 void binding_table::confirm(caller_packet const& packet,
                             instant now,
-                            forwarder_effects& out)
+                            forwarder_effects& out,
+                            std::optional<steady_time> opened_after)
 {
     auto const found = entries_.find(packet.flow);
-    if (found == entries_.end() || !found->second.is_foreign_proposal ||
-        !belongs_to(packet, found->second.binding))
+    if (found == entries_.end() || !belongs_to(packet, found->second.binding))
     {
         return;
     }
     auto& bound = found->second;
+    limit_age(bound, opened_after);
+    auto const was_just_looked_up =
+        bound.looked_up_at &&
+        now.steady - *bound.looked_up_at < min_lookup_interval;
+    if (bound.is_settled || was_just_looked_up)
+    {
+        return;
+    }
     bound.is_foreign_proposal = false;
+    look_up(bound, now, out);
+}
+
+void binding_table::look_up(entry& bound, instant now, forwarder_effects& out)
+{
+    bound.looked_up_at = now.steady;
+    bound.asked_placers = false;
+    bound.unanswered.clear();
     bound.informed.clear();
     send_now(bound, now, out);
+    bound.is_own_word |= bound.unconfirmed.empty() && is_known(bound, now);
+}
+
+void binding_table::limit_age(entry& bound,
+                              std::optional<steady_time> opened_after)
+{
+    if (opened_after &&
+        (!bound.opened_after || *bound.opened_after < *opened_after))
+    {
+        bound.opened_after = opened_after;
+    }
 }
 
 void binding_table::send_now(entry& bound, instant now, forwarder_effects& out)
 {
     outgoing messages;
     send_to_keepers(bound, now, messages);
+    send_outgoing(messages, out);
+}
+
+void binding_table::send_outgoing(outgoing const& messages,
+                                  forwarder_effects& out)
+{
     for (auto const& [destination, bindings] : messages)
     {
         send_all(destination, {.bindings = bindings}, out);
     }
 }
 
+bool binding_table::is_known(entry const& bound, instant now) const
+{
+    return bound.is_settled || bound.is_own_word ||
+           authority_.may_deny(bound.binding.flow, now, bound.opened_after);
+}
+
+bool binding_table::is_lookup_late(entry const& bound, instant now)
+{
+    auto const elapsed = now.steady - bound.looked_up_at.value_or(now.steady);
+    return !bound.unconfirmed.empty() && elapsed >= min_resend_delay &&
+           elapsed < min_lookup_interval;
+}
+
+void binding_table::ask_placers(entry& bound, instant now, outgoing& messages)
+{
+    if (bound.asked_placers || bound.is_foreign_proposal ||
+        is_known(bound, now))
+    {
+        return;
+    }
+    bound.asked_placers = true;
+    auto const keepers = keeper_runs(bound.binding.flow);
+    for (auto const placer : authority_.possible_placers())
+    {
+        if (std::ranges::count(keepers, placer, &peer_run::address) == 0)
+        {
+            bound.unanswered.push_back(placer);
+            messages[placer].push_back(to_message(bound, now));
+        }
+    }
+}
+
 void binding_table::ask(caller_packet const& packet,
                         instant now,
                         forwarder_effects& out)
@@ -227,7 +320,11 @@
 {
     auto const bound = entries_.find(flow);
     auto const asked = questions_.find(flow);
-    return (bound != entries_.end() && !bound->second.unconfirmed.empty()) ||
+    auto const is_awaiting_placers = bound != entries_.end() &&
+                                     !bound->second.is_settled &&
+                                     !bound->second.unanswered.empty();
+    return is_awaiting_placers ||
+           (bound != entries_.end() && !bound->second.unconfirmed.empty()) ||
            (asked != questions_.end() && !asked->second.unanswered.empty());
 }
 
@@ -246,8 +343,8 @@
         return false;
     }
     auto const& bound = found->second;
-    return !bound.unconfirmed.empty() && !bound.is_settled &&
-           now.steady - bound.bound_at < max_lookup_time;
+    return !bound.is_settled &&
+           (!bound.unconfirmed.empty() || !is_known(bound, now));
 }
 
 void binding_table::on_timer(instant now, forwarder_effects& out)
@@ -256,6 +353,7 @@
     {
     }
     outgoing messages;
+    std::size_t late_lookups = 0;
     while (!checks_.empty() && checks_.top().at <= now.steady)
     {
         auto const due = checks_.top();
@@ -263,13 +361,17 @@
         auto const found = entries_.find(due.flow);
         if (found != entries_.end() && found->second.check_at == due.at)
         {
-            send_to_keepers(found->second, now, messages);
+            auto& bound = found->second;
+            send_to_keepers(bound, now, messages);
+            if (late_lookups < max_late_lookups_per_step &&
+                is_lookup_late(bound, now))
+            {
+                ++late_lookups;
+                ask_placers(bound, now, messages);
+            }
         }
     }
-    for (auto const& [destination, bindings] : messages)
-    {
-        send_all(destination, {.bindings = bindings}, out);
-    }
+    send_outgoing(messages, out);
 }
 
 std::optional<steady_time> binding_table::next_timer_at() const
--- a/dotterelrouter/bindings/binding_table_test.cpp
+++ b/dotterelrouter/bindings/binding_table_test.cpp
@@ -208,6 +208,95 @@
     CHECK(bindings.is_settled(make_packet(1)));
 }
 
+/// All keepers respond that they can't tell. The forwarder that placed the flow
+/// may be none of them, and may be shutting down (review/8).
+TEST(binding_table, others_are_asked_once_no_keeper_can_tell)
+{
+    std::vector<live_forwarder> fleet;
+    for (std::uint32_t number = 1; number <= 5; ++number)
+    {
+        fleet.push_back(make_forwarder(number));
+    }
+    auto const leaving = make_forwarder(6);
+    bindings.set_forwarders(fleet,
+                            {{.heartbeat_endpoint = leaving.heartbeat_endpoint,
+                              .data_centre = data_centre,
+                              .live = true,
+                              .last_heard_at = now.steady,
+                              .draining_since = now.steady}},
+                            now);
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    auto const keepers = sent_counts();
+    CHECK_EQUAL(3U, keepers.size());
+    out.clear();
+    auto proposed = make_binding(1, first_server, 0ms);
+    proposed.is_proposal = true;
+    for (auto const& [keeper, count] : keepers)
+    {
+        CHECK(sent_counts().empty());
+        bindings.on_message(
+            keeper, {.bindings = {proposed}, .is_response = true}, now, out);
+    }
+    auto const others = sent_counts();
+    CHECK_EQUAL(3U, others.size());
+    CHECK_EQUAL(1U, others.count(leaving.heartbeat_endpoint));
+    CHECK(bindings.is_awaiting_keepers(make_flow_key(1)));
+    proposed.is_proposal = false;
+    respond(leaving, proposed);
+    CHECK(bindings.is_settled(make_packet(1)));
+    CHECK(!bindings.is_awaiting_keepers(make_flow_key(1)));
+}
+
+/// Nobody can tell. The packet goes nowhere, and the next one that the caller
+/// sends is looked up again.
+TEST(binding_table, unknown_flow_is_looked_up_again_with_its_next_packet)
+{
+    bindings.set_forwarders({make_forwarder(1)}, {}, now);
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    auto proposed = make_binding(1, first_server, 0ms);
+    proposed.is_proposal = true;
+    respond(make_forwarder(1), proposed);
+    CHECK(!bindings.is_awaiting_keepers(make_flow_key(1)));
+    CHECK(bindings.is_unconfirmed(make_flow_key(1), now));
+    advance(10s);
+    CHECK(bindings.is_unconfirmed(make_flow_key(1), now));
+    bindings.confirm(make_packet(1), now, out);
+    CHECK_EQUAL(1U, sent_counts().size());
+    out.clear();
+    bindings.confirm(make_packet(1), now, out);
+    CHECK(sent_counts().empty());
+    advance(min_lookup_interval);
+    bindings.confirm(make_packet(1), now, out);
+    CHECK_EQUAL(1U, sent_counts().size());
+}
+
+/// The forwarder that placed a flow can't tell where it opened, but when: the
+/// keepers are asked again, as they may have run for long enough.
+TEST(binding_table, keepers_are_asked_again_when_the_age_of_a_flow_is_known)
+{
+    bindings.set_forwarders({make_forwarder(1)}, {}, now);
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    out.clear();
+    auto proposed = make_binding(1, first_server, 0ms);
+    proposed.is_proposal = true;
+    proposed.age_limit = 400ms;
+    respond(make_forwarder(1), proposed);
+    auto const sent = effects_of_type<send_bindings>(out);
+    CHECK_EQUAL(1U, sent.size());
+    CHECK(sent.front().message.bindings.front().age_limit == 400ms);
+    out.clear();
+    respond(make_forwarder(1), proposed);
+    CHECK(effects_of_type<send_bindings>(out).empty());
+    binding_table keeper{{.data_centre = data_centre}};
+    keeper.on_started(false, now);
+    now.steady += 1s;
+    proposed.age_limit.reset();
+    keeper.on_message({1, 1}, {{proposed}}, now, out);
+    CHECK(!keeper.is_settled(make_packet(1)));
+    keeper.on_message({1, 1}, sent.front().message, now, out);
+    CHECK(keeper.is_settled(make_packet(1)));
+}
+
 TEST(binding_table, first_binding_wins_at_the_forwarder_that_holds_it)
 {
     bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
--- a/dotterelrouter/bindings/flow_authority.cpp
+++ b/dotterelrouter/bindings/flow_authority.cpp
@@ -63,13 +63,57 @@
     former_ = std::move(former);
 }
 
-bool flow_authority::may_deny(flow_key flow, instant now) const
+bool flow_authority::may_deny(flow_key flow,
+                              instant now,
+                              std::optional<steady_time> opened_after) const
 {
-    auto const since = now.steady - settings_.flow_lifetime;
+    auto const lifetime_began = now.steady - settings_.flow_lifetime;
+    auto const since =
+        std::max(lifetime_began, opened_after.value_or(lifetime_began));
+    if (!opened_after && is_data_centre_unreachable(lifetime_began))
+    {
+        return false;
+    }
     return has_run_since(since) && !may_lack_bindings(now) &&
            preceding_keepers(flow, since, now) < common_keeper_count();
 }
 
+std::vector<endpoint> flow_authority::possible_placers() const
+{
+    auto const is_small = live_.size() + former_.size() <= max_small_fleet;
+    std::vector<endpoint> placers;
+    auto const add = [&](auto const& other)
+    {
+        if (is_small || other.data_centre == settings_.data_centre)
+        {
+            placers.push_back(other.heartbeat_endpoint);
+        }
+    };
+    std::ranges::for_each(live_, add);
+    for (auto const& former : former_)
+    {
+        if (former.live)
+        {
+            add(former);
+        }
+    }
+    return placers;
+}
+
+bool flow_authority::is_data_centre_unreachable(steady_time since) const
+{
+    return std::ranges::any_of(
+        former_,
+        [&](former_forwarder const& former)
+        {
+            return former.data_centre != settings_.data_centre &&
+                   !former.draining_since && former.last_heard_at >= since &&
+                   std::ranges::count(live_,
+                                      former.data_centre,
+                                      &live_forwarder::data_centre) == 0;
+        });
+}
+
 bool flow_authority::has_run_since(steady_time time) const
 {
     return started_at_ && (is_first_start_ || *started_at_ <= time);
--- a/dotterelrouter/bindings/flow_authority_test.cpp
+++ b/dotterelrouter/bindings/flow_authority_test.cpp
@@ -125,8 +125,8 @@
     CHECK_EQUAL(200, denied_flows());
 }
 
-/// All others of the fleet are killed. The one that is left was told of its
-/// own flows only, and nobody is left to tell it of the rest.
+/// The others of its data centre are killed. It was told of its own flows only,
+/// and nobody may be left to tell it of the rest.
 TEST(flow_authority, does_not_speak_for_flows_of_lost_keepers)
 {
     authority.on_started(true, now);
@@ -135,19 +135,46 @@
     authority.set_forwarders(live, {}, now);
     advance(10s);
     auto const lost_at = now.steady;
-    std::vector<former_forwarder> former;
-    for (auto const& lost : live)
-    {
-        former.push_back(make_former(lost, lost_at));
-    }
     advance(1s);
-    authority.set_forwarders({}, former, now);
+    authority.set_forwarders({remote},
+                             {make_former(mates.front(), lost_at),
+                              make_former(mates.back(), lost_at)},
+                             now);
     auto const own_flows = preceded_by_none(mates);
+    CHECK_EQUAL(own_flows, denied_flows());
     advance(50s);
     CHECK_EQUAL(own_flows, denied_flows());
     // Then no flow is left that was open while they ran.
-    advance(11s + handover_period);
+    advance(10s + handover_period);
+    CHECK_EQUAL(200, denied_flows());
+}
+
+/// Another data centre is lost or cut off. If it is cut off, flows go on to
+/// open there, and nobody outside is told. Those that were placed here don't.
+TEST(flow_authority, does_not_speak_for_flows_of_an_unreachable_data_centre)
+{
+    authority.on_started(true, now);
+    authority.set_forwarders({remote}, {}, now);
+    advance(10s);
+    auto const lost_at = now.steady;
+    advance(1s);
     CHECK_EQUAL(200, denied_flows());
+    authority.set_forwarders({}, {make_former(remote, lost_at)}, now);
+    CHECK_EQUAL(0, denied_flows());
+    CHECK(authority.may_deny(make_flow_key(1), now, now.steady - 300ms));
+    advance(60s);
+    CHECK_EQUAL(200, denied_flows());
+}
+
+/// The forwarder that placed a flow tells when it can have opened.
+TEST(flow_authority, speaks_for_young_flows_soon_after_its_start)
+{
+    authority.on_started(false, now);
+    authority.set_forwarders(mates, {}, now);
+    advance(handover_period);
+    CHECK(!authority.may_deny(make_flow_key(1), now));
+    CHECK(!authority.may_deny(make_flow_key(1), now, now.steady - 3s));
+    CHECK(authority.may_deny(make_flow_key(1), now, now.steady - 1s));
 }
 
 /// A forwarder that shuts down sends its bindings to the next keepers.
--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -24,10 +24,11 @@
 /// only if nearly every flow is bound.
 inline constexpr std::size_t max_bindings = 16384;
 
-/// Time for which a forwarder waits for the first response of a keeper to a
-/// binding by token. By then silent keepers are not live in a small fleet, and
-/// others have been asked.
+/// Time after which nothing waits for the answer to a question any more.
 inline constexpr duration max_lookup_time = std::chrono::seconds{1};
+/// Minimum time between two look-ups of one flow: less than the time after
+/// which its caller sends a packet again that was dropped.
+inline constexpr duration min_lookup_interval = std::chrono::milliseconds{150};
 
 /// Settings of a binding table.
 struct binding_table_settings
@@ -90,22 +91,32 @@
     find(caller_packet const& packet) const;
 
     /// Binds the flow of a packet to a server, unless it is bound already, and
-    /// sends the binding to the keepers.
+    /// sends the binding to the keepers. The flow can't have opened before
+    /// `opened_after`, if that is known.
     void bind(caller_packet const& packet,
               std::string_view server,
               binding_basis basis,
               instant now,
-              forwarder_effects& out);
+              forwarder_effects& out,
+              std::optional<steady_time> opened_after = std::nullopt);
 
     /// Binds a flow that was seen open `binding.age` ago, unless it is bound
     /// already, and sends the binding to the keepers. Returns whether it was
     /// not bound.
     bool bind(flow_binding const& binding, instant now, forwarder_effects& out);
 
-    /// Asks the keepers to confirm the binding of a packet's flow, if another
-    /// forwarder proposed it and has not told whether it was confirmed.
-    void
-    confirm(caller_packet const& packet, instant now, forwarder_effects& out);
+    /// Confirms a proposal of another forwarder, which then informs the
+    /// keepers. Does nothing if the flow is bound to another server.
+    void vouch_for(flow_binding const& proposal,
+                   instant now,
+                   forwarder_effects& out);
+
+    /// Looks the flow of a packet up if its binding is not confirmed, unless
+    /// that was done just before. See bind() for `opened_after`.
+    void confirm(caller_packet const& packet,
+                 instant now,
+                 forwarder_effects& out,
+                 std::optional<steady_time> opened_after = std::nullopt);
 
     /// Asks the keepers and all forwarders of this data centre where the flow
     /// of a packet is open, without binding it. Replaces an earlier question
@@ -119,18 +130,17 @@
     /// all keepers have responded that they don't know the flow.
     std::optional<bool> end_question(flow_key flow);
 
-    /// True while a keeper has not responded to the binding of this flow, or a
-    /// forwarder to the question about it.
+    /// True while a keeper has not responded to the binding of this flow, or
+    /// another forwarder to a proposal or question about it.
     [[nodiscard]] bool is_awaiting_keepers(flow_key flow) const;
-    /// False if the flow of a packet is bound by a token only, and it is not
-    /// confirmed: neither have all keepers responded, nor one that knows all
-    /// that the others do, or a confirmed binding of the flow. True if the flow
-    /// is not bound.
+    /// False if the flow of a packet is bound by a token only, and no other
+    /// forwarder that may speak for the flow has confirmed that. True if the
+    /// flow is not bound.
     [[nodiscard]] bool is_settled(caller_packet const& packet) const;
 
-    /// True while keepers leave open whether the flow was bound before: one has
-    /// not responded, and those that did have started after it.
-    /// False from `max_lookup_time` after the flow was bound.
+    /// True if the flow may be open at another server than the one that it is
+    /// bound to by a token: no other forwarder has confirmed that one, and this
+    /// one may not speak for the flow or a live keeper has not responded.
     [[nodiscard]] bool is_unconfirmed(flow_key flow, instant now) const;
 
     /// Merges the bindings of a message, and responds to it unless it is a
@@ -184,8 +194,18 @@
         /// Keepers that were sent the binding and have not responded.
         std::vector<peer_run> unconfirmed;
         bool is_settled = false; ///< See is_settled().
+        /// This forwarder may speak for the flow, and there was no keeper.
+        bool is_own_word = false;
         /// Proposed by another forwarder, and not confirmed to this one.
         bool is_foreign_proposal = false;
+        /// The flow can't have opened before; empty if that is not known.
+        std::optional<steady_time> opened_after;
+        /// When the flow was last looked up; empty if it never was here.
+        std::optional<steady_time> looked_up_at;
+        /// Forwarders other than keepers that were asked in this look-up, and
+        /// have not responded. Not used before all keepers or a delay passed.
+        std::vector<endpoint> unanswered;
+        bool asked_placers = false; ///< In this look-up.
         /// When its keepers are checked next; empty if they all responded.
         std::optional<steady_time> check_at;
         duration resend_delay{};
@@ -233,7 +253,30 @@
                        forwarder_effects& out);
     /// Returns whether the response confirms a binding that this forwarder
     /// proposed.
-    bool on_response(flow_binding const& held, endpoint from);
+    bool on_response(flow_binding const& held,
+                     endpoint from,
+                     instant now,
+                     forwarder_effects& out);
+    /// Whether no other forwarder has to be asked: the binding is confirmed, or
+    /// this forwarder may speak for the flow.
+    [[nodiscard]] bool is_known(entry const& bound, instant now) const;
+    /// Sends a binding to its keepers, as the beginning of a look-up.
+    void look_up(entry& bound, instant now, forwarder_effects& out);
+    /// Sends a proposal to the forwarders that may have placed its flow, once
+    /// in a look-up.
+    void ask_placers(entry& bound, instant now, outgoing& messages);
+    /// Whether packets wait for a look-up whose keepers did not respond yet.
+    [[nodiscard]] static bool is_lookup_late(entry const& bound, instant now);
+    static void send_outgoing(outgoing const& messages, forwarder_effects& out);
+    /// Asks the keepers again if a response tells when the flow can have opened
+    /// and that was not known.
+    void ask_again_with_age(entry& bound,
+                            flow_binding const& held,
+                            instant now,
+                            forwarder_effects& out);
+    /// Notes that a flow can't have opened before a time.
+    static void limit_age(entry& bound,
+                          std::optional<steady_time> opened_after);
     [[nodiscard]] live_forwarder const* find_forwarder(endpoint address) const;
     /// Tells the keepers that the binding of a flow is confirmed.
     void announce_confirmed(flow_key flow, instant now, forwarder_effects& out);
--- a/dotterelrouter/bindings/internal/flow_authority.hpp
+++ b/dotterelrouter/bindings/internal/flow_authority.hpp
@@ -13,6 +13,8 @@
 // of the flow. It may be followed only if somebody can say that no other server
 // has the flow. A binding says where a flow is open, whoever holds it. That a
 // forwarder holds none says something only if it would have been told of one.
+// Besides, the forwarder that placed a flow can say so, however short it has
+// run. If nobody can, the flow is unknown, and its packets go nowhere.
 #pragma once
 
 #include "dotterelrouter/bindings/internal/keepers.hpp"
@@ -31,6 +33,10 @@
 /// sent their bindings to the forwarders that became keepers by that.
 inline constexpr duration handover_period = std::chrono::seconds{2};
 
+/// Number of other forwarders up to which all of them are asked for a flow, not
+/// only those of the own data centre.
+inline constexpr std::size_t max_small_fleet = 16;
+
 /// Identity of a forwarder, and what it has to remember.
 struct flow_authority_settings
 {
@@ -69,12 +75,26 @@
     }
 
     /// Whether this forwarder would have been told of the binding of a flow, if
-    /// the flow had been bound anywhere within its lifetime: it has run for
-    /// that long, and was a keeper of the flow for all forwarders all the time.
-    /// Linear in the number of forwarders.
-    [[nodiscard]] bool may_deny(flow_key flow, instant now) const;
+    /// the flow had been bound anywhere since it can have opened: it has run
+    /// for that long, and was a keeper of the flow for all forwarders all the
+    /// time. A flow that is unknown can have opened its lifetime ago, and in a
+    /// data centre that can't be reached. One that this forwarder placed can't
+    /// have opened before `opened_after`, nor in another data centre. Linear in
+    /// the number of forwarders.
+    [[nodiscard]] bool
+    may_deny(flow_key flow,
+             instant now,
+             std::optional<steady_time> opened_after = std::nullopt) const;
+
+    /// Returns the other forwarders, those that shut down included, that may
+    /// have placed a flow: all of a small fleet, and those of this data centre
+    /// of a large one.
+    [[nodiscard]] std::vector<endpoint> possible_placers() const;
 
 private:
+    /// Whether no forwarder of another data centre is live that had any since a
+    /// time, so that flows may open there without this forwarder being told.
+    [[nodiscard]] bool is_data_centre_unreachable(steady_time since) const;
     /// Whether this process ran already at a time, or nothing did before it.
     [[nodiscard]] bool has_run_since(steady_time time) const;
     /// Whether bindings may be on their way to this forwarder that others hold.
--- a/dotterelrouter/codec/replication_codec_test.cpp
+++ b/dotterelrouter/codec/replication_codec_test.cpp
@@ -67,8 +67,10 @@
                          .acknowledgement = 5,
                          .server = "i-3d0f4bf384",
                          .age = 1500us,
-                         .is_proposal = true},
-                        {.flow = testing::make_flow_key(7)}};
+                         .is_proposal = true,
+                         .age_limit = 330ms},
+                        {.flow = testing::make_flow_key(7), .age_limit = 0us},
+                        {.flow = testing::make_flow_key(8)}};
     message.is_response = true;
     auto const decoded =
         decode_bindings(as_byte_view(encode_bindings(message)));
@@ -109,6 +111,21 @@
     CHECK(encode_bindings(message).size() <= 1400);
 }
 
+TEST(replication_codec, message_with_20_limited_bindings_fits_into_a_datagram)
+{
+    binding_message message;
+    message.bindings.assign(
+        20,
+        {.flow = {{UINT32_MAX, UINT16_MAX}, {UINT32_MAX, UINT16_MAX}},
+         .sequence = UINT32_MAX,
+         .acknowledgement = UINT32_MAX,
+         .server = "i-0123456789abcd",
+         .age = 24h,
+         .is_proposal = true,
+         .age_limit = 24h});
+    CHECK(encode_bindings(message).size() <= 1400);
+}
+
 /// 16 addresses stand for the heartbeat of a large fleet.
 TEST(replication_codec, heartbeat_with_16_addresses_fits_into_a_datagram)
 {
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -51,6 +51,7 @@
 forwarder::forwarder(forwarder_settings settings)
     : data_centre_{id_from_name(settings.data_centre)},
       flow_lifetime_(settings.flow_lifetime),
+      sockets_opened_at_(settings.sockets_opened_at),
       incarnation_(settings.incarnation), directory_(settings.token_hash_bits),
       peers_({.self = settings.heartbeat_endpoint,
               .data_centre = data_centre_,
@@ -92,7 +93,8 @@
     {
         started_at_ = now.steady;
         last_event_at_ = now.steady;
-        // The socket is older than the first event by an unknown time.
+        // The sockets are older than the first event.
+        queue_began_at_ = sockets_opened_at_.value_or(steady_time{});
         queue_ends_at_ = now.steady + internal::resume_grace_period;
         bindings_.on_started(is_first_start_, now);
         if (cold_budget_)
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -50,6 +50,8 @@
     std::vector<endpoint> seeds{};
     /// Age from which a flow may be discarded.
     duration flow_lifetime = std::chrono::seconds{60};
+    /// Since when packets may wait in its sockets; empty if that is unknown.
+    std::optional<steady_time> sockets_opened_at{};
     /// Whether the whole fleet starts for the first time, so that no flow can
     /// be open that began before.
     bool is_first_start = false;
@@ -214,10 +216,17 @@
                    caller_packet const& packet,
                    instant now,
                    forwarder_effects& out);
-    /// Binds the open flows in the questions of another forwarder.
-    void bind_flows_asked_about(binding_message const& message,
-                                instant now,
-                                forwarder_effects& out);
+    /// Binds those flows in the questions and proposals of another forwarder
+    /// that were placed here, as far as it is known where they are open.
+    /// Otherwise notes in the proposal when the flow can have opened.
+    void tell_of_placed_flows(std::span<flow_binding> asked_flows,
+                              instant now,
+                              forwarder_effects& out);
+    /// Same, of a flow that this forwarder has not seen open.
+    void tell_of_opening(internal::placed_flow const& flow,
+                         flow_binding& proposal,
+                         instant now,
+                         forwarder_effects& out);
     /// Binds a flow that was seen open here. Does nothing if its server is
     /// unknown.
     void bind_placed_flow(internal::placed_flow const& flow,
@@ -236,22 +245,27 @@
                    binding_basis basis,
                    std::string_view reason,
                    instant now,
-                   forwarder_effects& out);
+                   forwarder_effects& out,
+                   std::optional<steady_time> opened_after = std::nullopt);
     void log_bound_flow(flow_key flow,
                         std::string_view request_id,
                         server_entry const& server,
                         std::string_view reason,
                         instant now,
                         forwarder_effects& out);
-    /// Holds a packet if keepers have not responded to its flow's binding, and
-    /// returns whether it does.
+    /// Holds a packet while forwarders have not responded to its flow's
+    /// binding, or drops it if they have and nobody knows where the flow is
+    /// open. Returns whether it did either.
     bool hold_until_confirmed(caller_packet const& packet,
                               instant now,
                               forwarder_effects& out);
-    /// Holds a packet if no keeper has responded to its flow's binding.
+    /// Same, but holds it only if the binding is not confirmed.
     bool hold_if_unconfirmed(caller_packet const& packet,
                              instant now,
                              forwarder_effects& out);
+    void drop_unconfirmed_packet(caller_packet const& packet,
+                                 instant now,
+                                 forwarder_effects& out);
     void
     log_unconfirmed_flows(std::span<internal::buffered_packet const> released,
                           std::span<flow_key const> rebound,
@@ -482,7 +496,8 @@
     void arm_timer(instant now, forwarder_effects& out);
 
     data_centre_id data_centre_{};
-    duration flow_lifetime_; ///< See forwarder_settings.
+    duration flow_lifetime_;                       ///< See forwarder_settings.
+    std::optional<steady_time> sockets_opened_at_; ///< Same.
     std::uint64_t incarnation_{};
     directory directory_;
     freshness freshness_;
--- a/dotterelrouter/forwarder/forwarder_test.cpp
+++ b/dotterelrouter/forwarder/forwarder_test.cpp
@@ -267,6 +267,7 @@
     held.bindings.front().server =
         server_name(static_cast<std::uint32_t>(first.server_number));
     held.bindings.front().age = 26ms;
+    held.bindings.front().is_proposal = false;
     held.is_response = true;
     dispatch(bindings_received{peer_address, held});
     CHECK(forwarded_packet().server_number == first.server_number);
--- a/dotterelrouter/forwarder/internal/opening.hpp
+++ b/dotterelrouter/forwarder/internal/opening.hpp
@@ -20,6 +20,18 @@
 inline constexpr duration first_response_period =
     std::chrono::milliseconds{150};
 
+/// Time that a first packet takes from its caller at most: as long as a caller
+/// waits before it sends the first copy.
+inline constexpr duration max_first_packet_delay =
+    std::chrono::milliseconds{200};
+
+/// Returns the time before which a flow can't have opened that was placed here:
+/// its caller sends no copy of the first packet once a handshake has arrived.
+[[nodiscard]] inline steady_time earliest_opening(placed_flow const& flow)
+{
+    return flow.arrived_after - max_first_packet_delay;
+}
+
 /// How much the caller's acknowledgement tells about where a flow is open.
 enum class opening_evidence : std::uint8_t
 {
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -10,6 +10,7 @@
 namespace dotterelrouter
 {
 
+using internal::earliest_opening;
 using internal::evidence_of;
 using internal::opening_evidence;
 using internal::placed_flow;
@@ -100,7 +101,7 @@
                           instant now,
                           forwarder_effects& out)
 {
-    bindings_.confirm(packet, now, out);
+    bindings_.confirm(packet, now, out, earliest_opening(flow));
     auto const bound_server = bindings_.find(packet);
     if (bound_server && hold_if_unconfirmed(packet, now, out))
     {
@@ -164,7 +165,8 @@
               binding_basis::token,
               "first packet or acknowledgement late",
               now,
-              out);
+              out,
+              earliest_opening(flow));
     flow.awaits_binding = hold_until_confirmed(packet, now, out);
     return flow.awaits_binding;
 }
@@ -174,9 +176,10 @@
                           binding_basis basis,
                           std::string_view reason,
                           instant now,
-                          forwarder_effects& out)
+                          forwarder_effects& out,
+                          std::optional<steady_time> opened_after)
 {
-    bindings_.bind(packet, server.record.name, basis, now, out);
+    bindings_.bind(packet, server.record.name, basis, now, out, opened_after);
     log_bound_flow(packet.flow, packet.request_id, server, reason, now, out);
 }
 
@@ -211,13 +214,32 @@
 {
     if (!bindings_.is_awaiting_keepers(packet.flow))
     {
-        return false;
+        auto const is_unknown = bindings_.is_unconfirmed(packet.flow, now);
+        if (is_unknown)
+        {
+            drop_unconfirmed_packet(packet, now, out);
+        }
+        return is_unknown;
     }
     held_flows_.begin(packet, now);
     out.push_back(increment_forwarder_counter{forwarder_counter::packets_held});
     return true;
 }
 
+void forwarder::drop_unconfirmed_packet(caller_packet const& packet,
+                                        instant now,
+                                        forwarder_effects& out)
+{
+    out.push_back(
+        increment_forwarder_counter{forwarder_counter::packets_unconfirmed});
+    out.push_back(log_decision{.type = decision::flow_binding_unconfirmed,
+                               .flow = packet.flow,
+                               .request_id = std::string{packet.request_id},
+                               .reason = "no forwarder knows where it is open",
+                               .revision = directory_.revision(),
+                               .age = freshness_.age(now)});
+}
+
 void forwarder::release_held_flows(std::span<flow_key const> rebound,
                                    instant now,
                                    forwarder_effects& out)
@@ -238,13 +260,20 @@
             return bindings_.is_unconfirmed(flow, now);
         });
     log_unconfirmed_flows(released, rebound, now, out);
-    // Without any response another server may have the flow. The caller sends
-    // the packet again, and it is looked up again.
-    std::erase_if(released,
-                  [&](internal::buffered_packet const& waited)
-                  {
-                      return bindings_.is_unconfirmed(waited.packet.flow, now);
-                  });
+    // Another server may have the flow. The caller sends the packet again, and
+    // it is looked up again.
+    auto const dropped = std::erase_if(
+        released,
+        [&](internal::buffered_packet const& waited)
+        {
+            return bindings_.is_unconfirmed(waited.packet.flow, now);
+        });
+    if (dropped > 0)
+    {
+        out.push_back(
+            increment_forwarder_counter{forwarder_counter::packets_unconfirmed,
+                                        static_cast<std::uint32_t>(dropped)});
+    }
     process_waiting_packets(std::move(released), now, out);
 }
 
@@ -258,19 +287,21 @@
     for (auto const& waited : released)
     {
         auto const flow = waited.packet.flow;
-        if (flow == logged_flow || !bindings_.is_awaiting_keepers(flow) ||
+        auto const is_awaiting = bindings_.is_awaiting_keepers(flow);
+        auto const is_unconfirmed = bindings_.is_unconfirmed(flow, now);
+        if (flow == logged_flow || (!is_awaiting && !is_unconfirmed) ||
             std::ranges::count(rebound, flow) != 0)
         {
             continue;
         }
         logged_flow = flow;
-        out.push_back(
-            log_decision{.type = decision::flow_binding_unconfirmed,
-                         .flow = flow,
-                         .reason = bindings_.is_unconfirmed(flow, now)
-                                       ? "no keeper responded in time"
-                                       : "a keeper did not respond in time",
-                         .age = duration{now.steady - waited.arrived}});
+        out.push_back(log_decision{
+            .type = decision::flow_binding_unconfirmed,
+            .flow = flow,
+            .reason = !is_unconfirmed ? "a keeper did not respond in time"
+                      : is_awaiting   ? "no keeper responded in time"
+                                      : "no forwarder knows where it is open",
+            .age = duration{now.steady - waited.arrived}});
     }
 }
 
@@ -278,9 +309,13 @@
                    instant now,
                    forwarder_effects& out)
 {
-    bind_flows_asked_about(next_event.message, now, out);
+    auto message = next_event.message;
+    if (!message.is_response)
+    {
+        tell_of_placed_flows(message.bindings, now, out);
+    }
     auto const rebound =
-        bindings_.on_message(next_event.from, next_event.message, now, out);
+        bindings_.on_message(next_event.from, message, now, out);
     for (auto const& binding : next_event.message.bindings)
     {
         auto* const flow = flows_.find(binding.flow);
@@ -294,6 +329,57 @@
     release_held_flows(rebound, now, out);
 }
 
+void forwarder::tell_of_placed_flows(std::span<flow_binding> asked_flows,
+                                     instant now,
+                                     forwarder_effects& out)
+{
+    for (auto& asked : asked_flows)
+    {
+        auto const* const flow = flows_.find(asked.flow);
+        if (flow == nullptr ||
+            !is_same_stream(asked.sequence, flow->last_sequence))
+        {
+            continue;
+        }
+        if (!flow->opened)
+        {
+            tell_of_opening(*flow, asked, now, out);
+        }
+        else if (is_same_stream(asked.acknowledgement,
+                                flow->last_acknowledgement))
+        {
+            bind_placed_flow(*flow, "another forwarder asked", now, out);
+        }
+    }
+}
+
+void forwarder::tell_of_opening(placed_flow const& flow,
+                                flow_binding& proposal,
+                                instant now,
+                                forwarder_effects& out)
+{
+    auto const* const server = proposal.is_proposal
+                                   ? directory_.find_server(proposal.server)
+                                   : nullptr;
+    if (server == nullptr)
+    {
+        return;
+    }
+    caller_packet acknowledgement;
+    acknowledgement.flow = proposal.flow;
+    acknowledgement.sequence = proposal.sequence;
+    acknowledgement.acknowledgement = proposal.acknowledgement;
+    if (evidence_of(flow, acknowledgement, server->id, now) !=
+        opening_evidence::contested)
+    {
+        bindings_.vouch_for(proposal, now, out);
+        return;
+    }
+    auto const age_limit = duration{now.steady - earliest_opening(flow)};
+    proposal.age_limit =
+        std::min(age_limit, proposal.age_limit.value_or(age_limit));
+}
+
 void forwarder::update_keepers(instant now)
 {
     if (peers_.live_forwarders_version() != keepers_version_)
--- a/dotterelrouter/forwarder/shared_tokens.cpp
+++ b/dotterelrouter/forwarder/shared_tokens.cpp
@@ -92,23 +92,6 @@
         });
 }
 
-void forwarder::bind_flows_asked_about(binding_message const& message,
-                                       instant now,
-                                       forwarder_effects& out)
-{
-    for (auto const& asked : message.bindings)
-    {
-        auto const* const flow =
-            asked.server.empty() ? flows_.find(asked.flow) : nullptr;
-        if (flow != nullptr && flow->opened &&
-            is_same_stream(asked.sequence, flow->last_sequence) &&
-            is_same_stream(asked.acknowledgement, flow->last_acknowledgement))
-        {
-            bind_placed_flow(*flow, "another forwarder asked", now, out);
-        }
-    }
-}
-
 void forwarder::bind_placed_flow(placed_flow const& flow,
                                  std::string_view reason,
                                  instant now,
--- a/dotterelrouter/forwarding/internal/effects.hpp
+++ b/dotterelrouter/forwarding/internal/effects.hpp
@@ -181,6 +181,8 @@
     /// Packets whose token named several servers, and whose flow no other
     /// forwarder knew.
     packets_ambiguous,
+    /// Packets dropped because no forwarder could say where their flow is open.
+    packets_unconfirmed,
     /// Bindings dropped because the table was full.
     bindings_evicted,
     /// Flows refused as all servers of their service are in evacuated data
--- a/dotterelrouter/forwarding/internal/messages.hpp
+++ b/dotterelrouter/forwarding/internal/messages.hpp
@@ -102,6 +102,9 @@
     /// The sender knows it from a token only, and no other forwarder has
     /// confirmed it to the sender yet.
     bool is_proposal = false;
+    /// The flow can't have opened longer ago. Empty: only its lifetime limits
+    /// that.
+    std::optional<duration> age_limit{};
 
     friend bool operator==(flow_binding const&, flow_binding const&) = default;
 };
--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -83,6 +83,7 @@
                     .incarnation = random_incarnation(),
                     .seeds = seed_endpoints(settings_),
                     .flow_lifetime = settings_.flow_lifetime,
+                    .sockets_opened_at = clock_.now().steady,
                     .is_first_start = settings_.is_first_start,
                     .cold_limits = settings_.cold_limits,
                     .expects_evacuations = settings_.expects_evacuations,
--- a/dotterelrouter/telemetry/forwarder_metrics.cpp
+++ b/dotterelrouter/telemetry/forwarder_metrics.cpp
@@ -31,6 +31,7 @@
     std::string_view{"packets_held"},
     std::string_view{"packets_retargeted"},
     std::string_view{"packets_ambiguous"},
+    std::string_view{"packets_unconfirmed"},
     std::string_view{"bindings_evicted"},
     std::string_view{"flows_refused_evacuated"},
     std::string_view{"flows_kept_from_cold"},
--- a/testing/forwarding/fleet.cpp
+++ b/testing/forwarding/fleet.cpp
@@ -80,6 +80,7 @@
         .data_centre = "a",
         .incarnation = random_(),
         .seeds = {forwarders_[0].address, forwarders_[1].address},
+        .sockets_opened_at = now_.steady,
         .is_first_start = restarted.generation == 1,
         .token_hash_bits = token_hash_bits_,
         .cold_limits = faults_.cold_start > 0 ? std::optional{cold_start_limits{
--- a/testing/forwarding/fleet_nodes.cpp
+++ b/testing/forwarding/fleet_nodes.cpp
@@ -105,6 +105,10 @@
     {
         auto response = requested_effect.message;
         response.is_response = true;
+        for (auto& binding : response.bindings)
+        {
+            binding.is_proposal = false;
+        }
         schedule_delivery(
             index,
             2 * peer_delay,
--- a/testing/forwarding/forwarder_group.cpp
+++ b/testing/forwarding/forwarder_group.cpp
@@ -84,6 +84,7 @@
         .data_centre = started.data_centre,
         .incarnation = ++starts_,
         .seeds = {members_.front().address, members_.back().address},
+        .sockets_opened_at = now_.steady,
         .is_first_start = starts_ <= members_.size(),
         .token_hash_bits = token_hash_bits_,
         .cold_limits = cold_limits_.limits});
