Let a forwarder join the others before it is ready

Cause: a forwarder whose seeds had just left knew no other one. It reported that it was ready with its first directory, found no keeper to ask, and followed opening tokens. That nobody is known was taken for nobody there is.

Change: a forwarder that starts among others is ready once it has heard one, or after SeedLagS and a second, as it may be alone. While it has heard none it denies no binding (flow_authority). Until it is ready it checks its settings four times a second, and new seeds get a heartbeat at once.

forwarder_group took each process that was added while it started members for one of the first start of the fleet; it is one of the first members' only now.

--- a/dotterelrouter/bindings/flow_authority.cpp
+++ b/dotterelrouter/bindings/flow_authority.cpp
@@ -70,7 +70,9 @@
     auto const lifetime_began = now.steady - settings_.flow_lifetime;
     auto const since =
         std::max(lifetime_began, opened_after.value_or(lifetime_began));
-    if (!opened_after && is_data_centre_unreachable(lifetime_began))
+    auto const may_open_unseen =
+        is_isolated_ || is_data_centre_unreachable(lifetime_began);
+    if (!opened_after && may_open_unseen)
     {
         return false;
     }
--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -84,6 +84,12 @@
                         std::vector<former_forwarder> former,
                         instant now);
 
+    /// See flow_authority.
+    void set_isolated(bool is_isolated)
+    {
+        authority_.set_isolated(is_isolated);
+    }
+
     /// Returns the name of the server to which the flow of a packet is bound,
     /// if it is. A first packet belongs to a bound flow if it began that flow.
     /// The view is valid until the next non-const call.
--- a/dotterelrouter/bindings/internal/flow_authority.hpp
+++ b/dotterelrouter/bindings/internal/flow_authority.hpp
@@ -68,6 +68,13 @@
                         std::vector<former_forwarder> former,
                         instant now);
 
+    /// Sets whether this forwarder has heard no other one, although there may
+    /// be some. At the start it has not.
+    void set_isolated(bool is_isolated)
+    {
+        is_isolated_ = is_isolated;
+    }
+
     /// The other forwarders that are live.
     [[nodiscard]] std::span<live_forwarder const> forwarders() const
     {
@@ -112,6 +119,7 @@
     std::vector<former_forwarder> former_{};
     std::optional<steady_time> started_at_{};
     bool is_first_start_ = false;
+    bool is_isolated_ = false;
     /// When this process last resumed, or a forwarder returned that was away.
     std::optional<steady_time> rejoined_at_{};
 };
--- a/dotterelrouter/forwarder/forwarder.cpp
+++ b/dotterelrouter/forwarder/forwarder.cpp
@@ -51,6 +51,7 @@
 forwarder::forwarder(forwarder_settings settings)
     : data_centre_{id_from_name(settings.data_centre)},
       flow_lifetime_(settings.flow_lifetime),
+      max_discovery_time_(settings.max_discovery_time),
       sockets_opened_at_(settings.sockets_opened_at),
       incarnation_(settings.incarnation), directory_(settings.token_hash_bits),
       peers_({.self = settings.heartbeat_endpoint,
@@ -221,6 +222,7 @@
     {
         peers_.send_heartbeat_to(next_event.from, make_heartbeat(now), out);
     }
+    update_readiness(now, out);
 }
 
 void forwarder::on(changes_requested const& next_event,
@@ -264,6 +266,10 @@
                    forwarder_effects& out)
 {
     peers_.set_seeds(next_event.seeds, now);
+    if (peers_.is_isolated())
+    {
+        peers_.send_heartbeats_now(make_heartbeat(now), now, out);
+    }
     out.push_back(log_decision{
         .type = decision::settings_reloaded,
         .count = static_cast<std::uint32_t>(next_event.seeds.size())});
@@ -290,6 +296,7 @@
     update_reader(now, out);
     request_changes_if_behind(now, out);
     report_freshness(now, out);
+    update_readiness(now, out);
     share_load(now, out);
     update_spillover(now, out);
     advance_shutdown(now, out);
@@ -309,7 +316,7 @@
         cold_budget_->on_shutdown();
     }
     out.push_back(log_decision{.type = decision::stopping});
-    update_readiness(out);
+    update_readiness(now, out);
     peers_.send_heartbeats_now(make_heartbeat(now), now, out);
 }
 
@@ -350,7 +357,7 @@
     {
         request_removed_servers_from(*peer, now, out);
     }
-    update_readiness(out);
+    update_readiness(now, out);
     process_buffered_packets(now, out);
 }
 
@@ -478,9 +485,16 @@
     return message;
 }
 
-void forwarder::update_readiness(forwarder_effects& out)
+bool forwarder::has_joined(instant now) const
+{
+    return is_first_start_ || !peers_.is_isolated() ||
+           now.steady - *started_at_ >= max_discovery_time_;
+}
+
+void forwarder::update_readiness(instant now, forwarder_effects& out)
 {
-    auto const ready = directory_.has_routes() && !shutdown_started_at_;
+    auto const ready =
+        directory_.has_routes() && !shutdown_started_at_ && has_joined(now);
     if (ready == reported_ready_)
     {
         return;
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -50,6 +50,10 @@
     std::vector<endpoint> seeds{};
     /// Age from which a flow may be discarded.
     duration flow_lifetime = std::chrono::seconds{60};
+    /// Time after the start for which other forwarders are awaited before this
+    /// one is ready, as it may be alone: longer than the time for which the
+    /// seeds may be stale.
+    duration max_discovery_time = std::chrono::seconds{4};
     /// Since when packets may wait in its sockets; empty if that is unknown.
     std::optional<steady_time> sockets_opened_at{};
     /// Whether the whole fleet starts for the first time, so that no flow can
@@ -491,12 +495,15 @@
     /// Whether a message that arrives now may have been queued during a pause
     /// of this process, so that its contents may be outdated.
     [[nodiscard]] bool may_have_queued(instant now) const;
-    void update_readiness(forwarder_effects& out);
+    /// Whether this forwarder has joined the others, as far as there are any.
+    [[nodiscard]] bool has_joined(instant now) const;
+    void update_readiness(instant now, forwarder_effects& out);
     void advance_shutdown(instant now, forwarder_effects& out);
     void arm_timer(instant now, forwarder_effects& out);
 
     data_centre_id data_centre_{};
     duration flow_lifetime_;                       ///< See forwarder_settings.
+    duration max_discovery_time_;                  ///< Same.
     std::optional<steady_time> sockets_opened_at_; ///< Same.
     std::uint64_t incarnation_{};
     directory directory_;
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -382,6 +382,8 @@
 
 void forwarder::update_keepers(instant now)
 {
+    // At the first start of the whole fleet, no flow can be open elsewhere.
+    bindings_.set_isolated(!is_first_start_ && peers_.is_isolated());
     if (peers_.live_forwarders_version() != keepers_version_)
     {
         keepers_version_ = peers_.live_forwarders_version();
--- a/dotterelrouter/replication/internal/peers.hpp
+++ b/dotterelrouter/replication/internal/peers.hpp
@@ -129,6 +129,10 @@
     /// asked first.
     void fail_change_request(endpoint address);
 
+    /// Whether this forwarder has heard no other one, although its settings
+    /// name some as seeds.
+    [[nodiscard]] bool is_isolated() const;
+
     /// Returns a live peer, preferably one in this forwarder's data centre.
     [[nodiscard]] std::optional<endpoint> any_live_peer() const;
 
@@ -215,6 +219,8 @@
                                           peer const& state) const;
     [[nodiscard]] duration current_staleness_timeout() const;
     [[nodiscard]] bool is_seed(endpoint address) const;
+    /// Whether the settings name this forwarder as a seed, and no other one.
+    [[nodiscard]] bool is_only_seed() const;
     [[nodiscard]] bool has_pending_request(endpoint address) const;
     void add_peer(endpoint address, instant now);
     void remove_silent_peers(instant now, forwarder_effects& out);
--- a/dotterelrouter/replication/peers.cpp
+++ b/dotterelrouter/replication/peers.cpp
@@ -571,6 +571,23 @@
                   });
 }
 
+bool peers::is_only_seed() const
+{
+    return !settings_.seeds.empty() &&
+           std::ranges::count(settings_.seeds, settings_.self) ==
+               static_cast<std::ptrdiff_t>(settings_.seeds.size());
+}
+
+bool peers::is_isolated() const
+{
+    auto const was_heard = [](auto const& entry)
+    {
+        return entry.second.last_heard_at.has_value();
+    };
+    return !settings_.seeds.empty() && !is_only_seed() &&
+           std::ranges::none_of(peers_, was_heard);
+}
+
 std::optional<endpoint> peers::any_live_peer() const
 {
     std::optional<endpoint> remote_peer;
@@ -633,9 +650,7 @@
     auto const local = make_rotation(true);
     local_fleet fleet{
         .is_alone = peers_.empty(),
-        .is_only_seed = !settings_.seeds.empty() &&
-                        std::ranges::count(settings_.seeds, settings_.self) ==
-                            static_cast<std::ptrdiff_t>(settings_.seeds.size()),
+        .is_only_seed = is_only_seed(),
         .heartbeat_rotation =
             static_cast<int>(turns_of(local.members.size(), local.round_size)) *
             heartbeat_interval};
--- a/dotterelrouter/runtime/internal/forwarder_process.hpp
+++ b/dotterelrouter/runtime/internal/forwarder_process.hpp
@@ -83,6 +83,7 @@
                     .incarnation = random_incarnation(),
                     .seeds = seed_endpoints(settings_),
                     .flow_lifetime = settings_.flow_lifetime,
+                    .max_discovery_time = settings_.max_discovery_time,
                     .sockets_opened_at = clock_.now().steady,
                     .is_first_start = settings_.is_first_start,
                     .cold_limits = settings_.cold_limits,
@@ -91,8 +92,7 @@
                         load_sharing ? load_sharing : settings_.load_sharing})
     {
         reducer_timer_.set_deadline(clock_.now().steady);
-        settings_check_timer_.set_deadline(clock_.now().steady +
-                                           settings_check_interval);
+        schedule_settings_check();
     }
 
     /// Runs until the reducer ends the process or a second shutdown signal
@@ -261,6 +261,9 @@
     /// Interval between checks for changed settings, which may change without a
     /// SIGHUP.
     static constexpr duration settings_check_interval = std::chrono::seconds{2};
+    /// The same while this process is not ready, as it may wait for seeds.
+    static constexpr duration unready_settings_check_interval =
+        std::chrono::milliseconds{250};
     /// Delay from a log record to the flush of the log, so that several records
     /// are written together.
     static constexpr duration log_flush_delay = std::chrono::milliseconds{50};
@@ -334,8 +337,7 @@
         void on_timer()
         {
             owner.reload_settings();
-            owner.settings_check_timer_.set_deadline(owner.clock_.now().steady +
-                                                     settings_check_interval);
+            owner.schedule_settings_check();
         }
     };
 
@@ -431,6 +433,14 @@
     static void on_changes_response(void* context,
                                     http_response const& response);
 
+    void schedule_settings_check()
+    {
+        settings_check_timer_.set_deadline(
+            clock_.now().steady + (is_ready_
+                                       ? settings_check_interval
+                                       : unready_settings_check_interval));
+    }
+
     /// Reads the settings again and notifies the reducer if they have changed.
     /// Keeps the previous settings and writes a log record if they can't be
     /// read.
--- a/testing/forwarding/flow_knowledge_test.cpp
+++ b/testing/forwarding/flow_knowledge_test.cpp
@@ -471,5 +471,94 @@
     }
 }
 
+/// review/6: forwarders leave, and others are added whose seeds are those that
+/// left. They know nobody, and followed wrong tokens. Now they get no packets
+/// before they have heard another one, and then flows go on through them.
+TEST(flow_knowledge, added_forwarders_with_stale_seeds_lead_no_flow_astray)
+{
+    for (auto const is_killed : {false, true})
+    {
+        forwarder_group group{{"a", "a", "a", "b", "b", "c", "c"}, 6};
+        auto const flows = open_flows(group, indexes_below(7), flow_count);
+        group.set_seeds({0, 3, 5});
+        for (std::size_t const leaving : {0, 3, 5})
+        {
+            is_killed ? group.kill(leaving) : group.stop(leaving);
+            group.advance(1s);
+        }
+        group.advance(2s);
+        for (auto const* const data_centre : {"a", "b", "c"})
+        {
+            group.add(data_centre);
+        }
+        group.advance(1s);
+        for (std::size_t added = 7; added < group.size(); ++added)
+        {
+            CHECK(!group.is_ready(added));
+        }
+        // Routers may use forwarders that are not ready if too few are.
+        auto const isolated = send_requests(
+            group, std::span{flows}.first(flow_count / 2), {7, 8, 9});
+        CHECK_EQUAL(0U, isolated.astray);
+        group.set_seeds({1, 4, 6});
+        group.reload_seeds();
+        group.advance(100ms);
+        for (std::size_t added = 7; added < group.size(); ++added)
+        {
+            CHECK(group.is_ready(added));
+        }
+        group.advance(500ms);
+        auto const joined = send_requests(group, flows, {7, 8, 9});
+        CHECK_EQUAL(0U, joined.astray);
+        CHECK_EQUAL(flow_count, joined.right);
+    }
+}
+
+/// Two added forwarders are each other's seeds, and know no other one.
+TEST(flow_knowledge, added_forwarders_that_know_only_each_other_guess_nothing)
+{
+    forwarder_group group{{"a", "a", "a", "b", "b", "c", "c"}, 6};
+    auto const flows = open_flows(group, indexes_below(7), flow_count);
+    group.set_seeds({0, 3});
+    group.kill(0);
+    group.kill(3);
+    group.advance(1s);
+    group.start(0);
+    for (std::size_t const other : {1, 2, 4, 5, 6})
+    {
+        group.cut(0, other);
+        group.cut(3, other);
+    }
+    group.start(3);
+    group.advance(1s);
+    auto const alone = send_requests(group, flows, {0, 3});
+    CHECK_EQUAL(0U, alone.astray);
+    CHECK_EQUAL(flow_count, alone.silent);
+    group.heal();
+    group.advance(1s);
+    auto const joined = send_requests(group, flows, {0, 3});
+    CHECK_EQUAL(0U, joined.astray);
+    CHECK_EQUAL(flow_count, joined.right);
+}
+
+/// All others are gone. A forwarder that starts serves new flows nevertheless,
+/// once its seeds can't be stale any more.
+TEST(flow_knowledge, forwarder_that_is_alone_starts)
+{
+    forwarder_group group{{"a", "a", "b"}, 6};
+    for (std::size_t index = 0; index < group.size(); ++index)
+    {
+        group.kill(index);
+    }
+    group.advance(1s);
+    group.start(1);
+    group.advance(3900ms);
+    CHECK(!group.is_ready(1));
+    group.advance(400ms);
+    CHECK(group.is_ready(1));
+    auto const opened = count_opened(group, 1, 1, 300ms, 1);
+    CHECK_EQUAL(20U, opened);
+}
+
 } // namespace
 } // namespace dotterelrouter::testing
--- a/testing/forwarding/forwarder_group.cpp
+++ b/testing/forwarding/forwarder_group.cpp
@@ -69,6 +69,7 @@
             {.address = {0x0a010001 + static_cast<std::uint32_t>(index), 7720},
              .data_centre = std::move(data_centres[index])});
     }
+    first_size_ = members_.size();
     for (std::size_t index = 0; index < members_.size(); ++index)
     {
         start(index);
@@ -83,9 +84,11 @@
         .heartbeat_endpoint = started.address,
         .data_centre = started.data_centre,
         .incarnation = ++starts_,
-        .seeds = {members_.front().address, members_.back().address},
+        .seeds = seeds_.empty() ? std::vector{members_.front().address,
+                                              members_.back().address}
+                                : seeds_,
         .sockets_opened_at = now_.steady,
-        .is_first_start = starts_ <= members_.size(),
+        .is_first_start = starts_ <= first_size_,
         .token_hash_bits = token_hash_bits_,
         .cold_limits = cold_limits_.limits});
     started.waiting.clear();
@@ -103,6 +106,23 @@
     start(index);
 }
 
+void forwarder_group::set_seeds(std::vector<std::size_t> const& indexes)
+{
+    seeds_.clear();
+    for (auto const index : indexes)
+    {
+        seeds_.push_back(members_[index].address);
+    }
+}
+
+void forwarder_group::reload_seeds()
+{
+    for (std::size_t index = 0; index < members_.size(); ++index)
+    {
+        deliver(index, settings_reloaded{seeds_});
+    }
+}
+
 void forwarder_group::restart(std::size_t index)
 {
     kill(index);
@@ -123,6 +143,7 @@
                   });
     members_[index].reducer.reset();
     members_[index].has_exited = false;
+    members_[index].is_ready = false;
     members_[index].timer_at = steady_time::max();
 }
 
@@ -415,6 +436,12 @@
     members_[index].has_exited = true;
 }
 
+void forwarder_group::execute(std::size_t index,
+                              set_readiness const& requested_effect)
+{
+    members_[index].is_ready = requested_effect.ready;
+}
+
 void forwarder_group::execute(
     std::size_t /*index*/, increment_forwarder_counter const& requested_effect)
 {
--- a/testing/forwarding/forwarder_group.hpp
+++ b/testing/forwarding/forwarder_group.hpp
@@ -95,6 +95,18 @@
     /// Adds a process to the group and starts it.
     void add(std::string data_centre);
 
+    /// Sets the seeds of processes that start from now on. They are the first
+    /// and the last member otherwise.
+    void set_seeds(std::vector<std::size_t> const& indexes);
+    /// Lets all processes read these seeds in their settings.
+    void reload_seeds();
+
+    /// Whether a process reports that it is ready.
+    [[nodiscard]] bool is_ready(std::size_t index) const
+    {
+        return members_[index].is_ready;
+    }
+
     /// Number of members, including those that are not running.
     [[nodiscard]] std::size_t size() const
     {
@@ -191,6 +203,7 @@
         std::unique_ptr<forwarder> reducer{};
         steady_time timer_at = steady_time::max();
         bool is_frozen = false;
+        bool is_ready = false;
         bool has_exited = false; ///< It requested to exit.
         std::vector<forwarder_event> waiting{};
     };
@@ -214,6 +227,7 @@
     void execute(std::size_t index, log_decision const& requested_effect);
     void execute(std::size_t index, refuse_flow const& requested_effect);
     void execute(std::size_t index, exit_process const& requested_effect);
+    void execute(std::size_t index, set_readiness const& requested_effect);
     void execute(std::size_t index,
                  increment_forwarder_counter const& requested_effect);
 
@@ -231,12 +245,15 @@
     instant now_{steady_time{std::chrono::hours{1}},
                  wall_time{std::chrono::hours{1}}};
     std::vector<member> members_{};
+    std::vector<endpoint> seeds_{}; ///< Empty: see set_seeds().
     std::deque<message> messages_{};
     std::set<std::pair<std::size_t, std::size_t>> cuts_{};
     std::vector<server_record> servers_{};
     unsigned token_hash_bits_ = max_token_hash_bits;
     std::uint64_t revision_ = 9; ///< Of the store.
     std::uint64_t starts_ = 0;
+    /// Number of members that start together as the first ones.
+    std::size_t first_size_ = 0;
     group_cold_limits cold_limits_;
     std::vector<forward_packet> forwarded_{};
     std::vector<forwarding_record> forwarding_records_{};
