Check all first packets at one place, and tell copies by their number and time

Cause: a first packet within 16 MB of the number of a bound flow was taken for a copy of that flow's for 60 s, and that path looked at evacuations and cold limits, not at whether the server drains or is gone. The path of copies for flows placed here had the same gap.

Change: forward_first_packet is the only function that forwards first packets, and may_get_first_packet its check: no server that drains, is gone, evacuated, without a token, or cold and at its limit. A copy has the number of the flow's first packet and comes within 1.4 s. A first packet of another flow ends the binding held here, and bindings carry the time since which their flow can have opened, so that an earlier one of the same key does not win at keepers.

--- a/dotterelrouter/bindings/binding_messages.cpp
+++ b/dotterelrouter/bindings/binding_messages.cpp
@@ -110,13 +110,15 @@
 {
     auto const bound_at = now.steady - received.age;
     auto const found = entries_.find(received.flow);
-    auto const is_held = found != entries_.end() &&
-                         (is_same_flow(found->second.binding, received) ||
-                          found->second.bound_at > bound_at);
     auto const opened_after =
         received.age_limit
             ? std::optional{steady_time{now.steady - *received.age_limit}}
             : std::nullopt;
+    auto const ends_held_flow = found != entries_.end() && opened_after &&
+                                found->second.bound_at < *opened_after;
+    auto const is_held = found != entries_.end() && !ends_held_flow &&
+                         (is_same_flow(found->second.binding, received) ||
+                          found->second.bound_at > bound_at);
     if (is_held)
     {
         auto& bound = found->second;
@@ -172,6 +174,10 @@
         return false;
     }
     auto& bound = found->second;
+    if (is_of_earlier_flow(bound, held, now))
+    {
+        return false;
+    }
     auto const was_settled = bound.is_settled;
     bound.is_settled |= !held.is_proposal;
     if (is_same_flow(bound.binding, held) &&
@@ -227,12 +233,20 @@
     }
 }
 
+bool binding_table::is_of_earlier_flow(entry const& bound,
+                                       flow_binding const& other,
+                                       instant now)
+{
+    return bound.opened_after && now.steady - other.age < *bound.opened_after;
+}
+
 bool binding_table::replace_if_later(entry& bound,
                                      flow_binding const& other,
                                      instant now)
 {
     auto const bound_at = now.steady - other.age;
     if (!is_same_flow(bound.binding, other) || other.server.empty() ||
+        is_of_earlier_flow(bound, other, now) ||
         bound.binding.server == other.server || bound.bound_at <= bound_at)
     {
         return false;
--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -32,13 +32,18 @@
 /// Bytes that a flow transfers at most in its lifetime, in either direction.
 constexpr std::uint32_t max_flow_bytes = 1U << 24U;
 
-/// Whether a packet belongs to the flow that was bound. A first packet has no
-/// acknowledgement number.
+/// Bytes that a caller sends at most before a server acknowledges some, so that
+/// a flow may have been bound at a packet that follows its first one by less.
+constexpr std::uint32_t max_unacknowledged_bytes = 16 * 1200;
+/// Time after which a caller gives up an attempt to open a flow. No copy of a
+/// first packet comes later than that after the flow was bound.
+constexpr duration max_copy_delay = std::chrono::milliseconds{1400};
+
+/// Whether a packet belongs to the flow that was bound.
 bool belongs_to(caller_packet const& packet, flow_binding const& binding)
 {
     return is_same_stream(packet.sequence, binding.sequence) &&
-           (packet.type == packet_type::open ||
-            is_same_stream(packet.acknowledgement, binding.acknowledgement));
+           is_same_stream(packet.acknowledgement, binding.acknowledgement);
 }
 
 } // namespace
@@ -113,6 +118,25 @@
     return found->second.binding.server;
 }
 
+std::optional<bound_opening>
+binding_table::find_begun_by(caller_packet const& first_packet,
+                             instant now) const
+{
+    auto const found = entries_.find(first_packet.flow);
+    if (found == entries_.end())
+    {
+        return std::nullopt;
+    }
+    auto const& bound = found->second;
+    auto const sent_since = bound.binding.sequence - first_packet.sequence;
+    if (sent_since > max_unacknowledged_bytes ||
+        now.steady - bound.bound_at >= max_copy_delay)
+    {
+        return std::nullopt;
+    }
+    return bound_opening{bound.binding.server, bound.is_settled};
+}
+
 void binding_table::bind(caller_packet const& packet,
                          std::string_view server,
                          binding_basis basis,
@@ -146,6 +170,10 @@
         return false;
     }
     auto& bound = insert(binding, now.steady - binding.age, now, out);
+    if (binding.age_limit)
+    {
+        limit_age(bound, now.steady - *binding.age_limit);
+    }
     bound.is_settled = true;
     send_now(bound, now, out);
     return true;
--- a/dotterelrouter/bindings/binding_table_test.cpp
+++ b/dotterelrouter/bindings/binding_table_test.cpp
@@ -388,9 +388,34 @@
     bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
     auto copy = make_packet(1, 999, 2);
     copy.type = packet_type::open;
-    CHECK(bindings.find(copy) == first_server);
-    copy.sequence += 1U << 30U;
-    CHECK(!bindings.find(copy));
+    auto const bound = bindings.find_begun_by(copy, now);
+    CHECK(bound.has_value());
+    CHECK(bound->server == first_server);
+    CHECK(!bound->is_settled);
+    for (std::uint32_t const sequence : {999U + (1U << 30U), 1001U, 2000000U})
+    {
+        copy.sequence = sequence;
+        CHECK(!bindings.find_begun_by(copy, now));
+    }
+}
+
+/// A client uses a port again while the binding of its last flow there is held.
+/// Its first packet was taken for that flow's, and went to that flow's server
+/// (review/10).
+TEST(binding_table, first_packet_of_a_later_flow_belongs_to_no_earlier_one)
+{
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    auto again = make_packet(1, 999, 0);
+    again.type = packet_type::open;
+    advance(1399ms);
+    CHECK(bindings.find_begun_by(again, now).has_value());
+    advance(1ms);
+    CHECK(!bindings.find_begun_by(again, now));
+    // Initial numbers count up by 250,000 a second.
+    again.sequence += 350000;
+    CHECK(!bindings.find_begun_by(again, now));
+    bindings.forget(again.flow);
+    CHECK(!bindings.find(make_packet(1)));
 }
 
 /// A keeper that restarts has lost its bindings, and another forwarder becomes
--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -47,6 +47,13 @@
     token,     ///< Only the token of a packet names the server.
 };
 
+/// Where a flow is bound whose first packet arrived again.
+struct bound_opening
+{
+    std::string_view server{};
+    bool is_settled = false; ///< See binding_table::is_settled().
+};
+
 /// Whether the sequence numbers may belong to the same flow: they differ by
 /// less than a flow transfers in its lifetime.
 [[nodiscard]] bool is_same_stream(std::uint32_t first, std::uint32_t second);
@@ -91,11 +98,24 @@
     }
 
     /// Returns the name of the server to which the flow of a packet is bound,
-    /// if it is. A first packet belongs to a bound flow if it began that flow.
-    /// The view is valid until the next non-const call.
+    /// if it is. The packet must not be a first packet. The view is valid until
+    /// the next non-const call.
     [[nodiscard]] std::optional<std::string_view>
     find(caller_packet const& packet) const;
 
+    /// Returns the binding of the flow that a first packet began, if it is a
+    /// copy of that flow's first packet: it has its sequence number, and comes
+    /// before a caller gives up. The view is valid until the next non-const
+    /// call.
+    [[nodiscard]] std::optional<bound_opening>
+    find_begun_by(caller_packet const& first_packet, instant now) const;
+
+    /// Removes the binding of an earlier flow whose caller uses its port again.
+    void forget(flow_key flow)
+    {
+        entries_.erase(flow);
+    }
+
     /// Binds the flow of a packet to a server, unless it is bound already, and
     /// sends the binding to the keepers. The flow can't have opened before
     /// `opened_after`, if that is known.
@@ -294,6 +314,11 @@
                    forwarder_effects& out);
     /// Removes questions whose packets wait no more, if there are too many.
     void remove_old_questions(instant now);
+    /// Whether a binding is that of an earlier flow, whose caller uses its port
+    /// again: it was bound before this flow can have opened.
+    static bool is_of_earlier_flow(entry const& bound,
+                                   flow_binding const& other,
+                                   instant now);
     /// Replaces a binding if the other one is of the same flow, earlier and to
     /// another server. Returns whether it did.
     bool replace_if_later(entry& bound, flow_binding const& other, instant now);
--- a/dotterelrouter/directory/directory.cpp
+++ b/dotterelrouter/directory/directory.cpp
@@ -41,12 +41,6 @@
                                .revision = server.record.revision});
 }
 
-bool accepts_new_flows(server_record const& record)
-{
-    return record.state == server_state::ready ||
-           record.state == server_state::expired;
-}
-
 /// Whether a record that the store came back with was written before what is
 /// known of the server. A start is never earlier than the one before, and a
 /// server that drains does not become ready without a start.
@@ -114,6 +108,12 @@
 
 } // namespace
 
+bool accepts_new_flows(server_record const& record)
+{
+    return record.state == server_state::ready ||
+           record.state == server_state::expired;
+}
+
 directory_changes directory::on_update(directory_update const& update,
                                        instant now,
                                        forwarder_effects& out)
--- a/dotterelrouter/directory/directory.hpp
+++ b/dotterelrouter/directory/directory.hpp
@@ -55,6 +55,10 @@
     bool has_drained = false;
 };
 
+/// Whether a server with this record takes new flows, as far as the record
+/// tells: it neither drains nor is gone.
+[[nodiscard]] bool accepts_new_flows(server_record const& record);
+
 /// Returns the server's name for the log, or "unknown" if `server` is null.
 /// The view is valid until the server's record changes.
 [[nodiscard]] inline std::string_view name_of(server_entry const* server)
--- a/dotterelrouter/forwarder/evacuations.cpp
+++ b/dotterelrouter/forwarder/evacuations.cpp
@@ -20,11 +20,6 @@
 
 } // namespace
 
-bool forwarder::accepts_first_packets(server_entry const& server) const
-{
-    return !directory_.is_evacuated(server.record.data_centre);
-}
-
 bool forwarder::is_all_evacuated(service const& target_service) const
 {
     std::size_t usable = 0;
--- a/dotterelrouter/forwarder/flows.cpp
+++ b/dotterelrouter/forwarder/flows.cpp
@@ -51,7 +51,6 @@
     {
         return;
     }
-    count_first_packet(*server, now);
     if (load_sharing_ && is_first_attempt)
     {
         count_placement(*server, out);
@@ -67,7 +66,8 @@
                         now.steady + handshake_timeouts[flow.attempts - 1]);
     }
     reachability_.on_flow_sent(server->id, server->record.data_centre, now);
-    forward_to(*server, flow.first_packet, as_opening(server->token), out);
+    forward_first_packet(
+        *server, flow.first_packet, as_opening(server->token), now, out);
     if (flow.attempts > 1)
     {
         out.push_back(
--- a/dotterelrouter/forwarder/forwarder.hpp
+++ b/dotterelrouter/forwarder/forwarder.hpp
@@ -279,11 +279,16 @@
     void release_held_flows(std::span<flow_key const> rebound,
                             instant now,
                             forwarder_effects& out);
-    /// Forwards a packet to the server to which its flow is bound, and returns
-    /// whether it is bound.
-    bool forward_to_bound_server(caller_packet const& packet,
+    /// Forwards a packet of an open flow to the server to which the flow is
+    /// bound.
+    void forward_to_bound_server(caller_packet const& packet,
                                  instant now,
                                  forwarder_effects& out);
+    /// Handles a first packet if it is a late copy of the one that began a
+    /// bound flow, and returns whether it is.
+    bool forward_copy_of_bound(caller_packet const& packet,
+                               instant now,
+                               forwarder_effects& out);
     void update_keepers(instant now);
 
     // Placement.
@@ -307,6 +312,20 @@
         ignored,
     };
 
+    /// Whether a first packet may go to a server, by whichever path it comes:
+    /// the server neither drains nor is gone, its data centre is not evacuated,
+    /// it has a token, and its limit allows for it if it is cold.
+    [[nodiscard]] bool
+    may_get_first_packet(server_entry const& server,
+                         instant now,
+                         cold_limit_use limits = cold_limit_use::applied) const;
+    /// Forwards a first packet to a server, if that may get it. Returns whether
+    /// it did.
+    bool forward_first_packet(server_entry const& server,
+                              byte_view bytes,
+                              route_token token,
+                              instant now,
+                              forwarder_effects& out);
     [[nodiscard]] std::optional<server_id>
     choose_server(service const& target_service,
                   internal::placed_flow const& flow,
@@ -389,13 +408,10 @@
     [[nodiscard]] std::optional<cold_server>
     limited_server(server_entry const& server, instant now) const;
     /// Whether the limit of a server allows for one more first packet.
-    [[nodiscard]] bool may_send_first_packet(server_entry const& server,
-                                             instant now) const;
+    [[nodiscard]] bool has_budget_for(server_entry const& server,
+                                      instant now) const;
     /// Counts a first packet that is sent to a server.
     void count_first_packet(server_entry const& server, instant now);
-    /// Whether a first packet goes nowhere because its flow is open at a server
-    /// whose limit is reached. Counts the packet otherwise.
-    bool drop_or_count_copy(server_entry const& server, instant now);
     /// Whether a flow would go to a server whose limit is reached.
     [[nodiscard]] bool is_kept_from_cold(service const& target_service,
                                          internal::placed_flow const& flow,
@@ -427,9 +443,6 @@
                           forwarder_effects& out);
 
     // Evacuations.
-    /// Whether a copy of a flow's first packet may go to the server at which
-    /// the flow is open. If not, the copy is late and nothing waits for it.
-    [[nodiscard]] bool accepts_first_packets(server_entry const& server) const;
     /// Whether all servers of a service that are not draining are in evacuated
     /// data centres, and there is one.
     [[nodiscard]] bool is_all_evacuated(service const& target_service) const;
--- a/dotterelrouter/forwarder/internal/opening.hpp
+++ b/dotterelrouter/forwarder/internal/opening.hpp
@@ -20,6 +20,15 @@
 inline constexpr duration first_response_period =
     std::chrono::milliseconds{150};
 
+/// Returns the token for later packets of a flow that is open at a server. If
+/// the server has none of its own, it is an opening token, by which other
+/// forwarders ask where the flow is open.
+[[nodiscard]] inline route_token later_token_of(server_entry const& server)
+{
+    return server.token == route_token{} ? as_opening(server.tokens.front())
+                                         : server.token;
+}
+
 /// Time that a first packet takes from its caller at most: as long as a caller
 /// waits before it sends the first copy.
 inline constexpr duration max_first_packet_delay =
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -12,6 +12,7 @@
 
 using internal::earliest_opening;
 using internal::evidence_of;
+using internal::later_token_of;
 using internal::opening_evidence;
 using internal::placed_flow;
 
@@ -72,28 +73,39 @@
     return directory_.find_server(flow.server);
 }
 
-bool forwarder::forward_to_bound_server(caller_packet const& packet,
+void forwarder::forward_to_bound_server(caller_packet const& packet,
                                         instant now,
                                         forwarder_effects& out)
 {
     auto const bound_server = bindings_.find(packet);
-    if (!bound_server)
-    {
-        return false;
-    }
-    auto const* const server = directory_.find_server(*bound_server);
+    auto const* const server =
+        bound_server ? directory_.find_server(*bound_server) : nullptr;
     if (server == nullptr)
     {
         drop_unrouted_packet(packet, now, out);
-        return true;
+        return;
     }
-    auto const is_first = packet.type == packet_type::open;
-    if (!is_first ||
-        (accepts_first_packets(*server) && !drop_or_count_copy(*server, now)))
+    forward_later_packet(*server, packet, out);
+}
+
+bool forwarder::forward_copy_of_bound(caller_packet const& packet,
+                                      instant now,
+                                      forwarder_effects& out)
+{
+    auto const bound = bindings_.find_begun_by(packet, now);
+    auto const* const server =
+        bound ? directory_.find_server(bound->server) : nullptr;
+    if (server != nullptr)
     {
-        forward_later_packet(*server, packet, out);
+        auto const token = later_token_of(*server);
+        // The caller has acknowledged the handshake, so it needs no other one.
+        forward_first_packet(*server,
+                             packet.bytes,
+                             bound->is_settled ? token : as_opening(token),
+                             now,
+                             out);
     }
-    return true;
+    return bound.has_value();
 }
 
 bool forwarder::open_flow(placed_flow& flow,
@@ -146,7 +158,8 @@
                       binding_basis::seen_open,
                       "its token names another server as well",
                       now,
-                      out);
+                      out,
+                      earliest_opening(flow));
         }
         return false;
     case opening_evidence::one_of_several:
@@ -155,7 +168,8 @@
                   binding_basis::seen_open,
                   "several servers have its first packet",
                   now,
-                  out);
+                  out,
+                  earliest_opening(flow));
         return false;
     case opening_evidence::contested:
         break;
--- a/dotterelrouter/forwarder/packets.cpp
+++ b/dotterelrouter/forwarder/packets.cpp
@@ -2,6 +2,7 @@
 // refused or dropped.
 #include "dotterelrouter/forwarder/forwarder.hpp"
 #include "dotterelrouter/forwarder/internal/flow_limits.hpp"
+#include "dotterelrouter/forwarder/internal/opening.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -12,6 +13,7 @@
 using internal::buffered_packet;
 using internal::buffered_packet_ttl;
 using internal::closed_flow_ttl;
+using internal::later_token_of;
 using internal::opening_timeout;
 using internal::placed_flow;
 
@@ -32,15 +34,6 @@
     return {static_cast<std::uint16_t>(&flow_route - routes.data())};
 }
 
-/// Returns the token for later packets of a flow that is open at a server. If
-/// the server has none of its own, it is an opening token, by which other
-/// forwarders ask where the flow is open.
-route_token later_token_of(server_entry const& server)
-{
-    return server.token == route_token{} ? as_opening(server.tokens.front())
-                                         : server.token;
-}
-
 } // namespace
 
 void forwarder::on(packet_arrived const& next_event,
@@ -134,7 +127,7 @@
     }
     auto const is_new =
         flow == nullptr || flow->first_sequence != packet.sequence;
-    if (is_new && forward_to_bound_server(packet, now, out))
+    if (is_new && forward_copy_of_bound(packet, now, out))
     {
         return;
     }
@@ -182,10 +175,11 @@
                              forwarder_effects& out)
 {
     auto const* const server = directory_.find_server(flow.server);
-    if (server != nullptr && accepts_first_packets(*server) &&
-        !drop_or_count_copy(*server, now))
+    if (server != nullptr)
     {
-        forward_to(*server, packet.bytes, later_token_of(*server), out);
+        // The caller has acknowledged the handshake, so it needs no other one.
+        forward_first_packet(
+            *server, packet.bytes, later_token_of(*server), now, out);
     }
 }
 
@@ -193,6 +187,7 @@
                                  route const& flow_route,
                                  instant now)
 {
+    bindings_.forget(packet.flow);
     auto& flow = flows_.add(packet.flow, now.steady + opening_timeout);
     flow.first_sequence = packet.sequence;
     flow.last_sequence = packet.sequence;
--- a/dotterelrouter/forwarder/placement.cpp
+++ b/dotterelrouter/forwarder/placement.cpp
@@ -161,6 +161,30 @@
         candidate_servers(is_usable, utilisation, capacity));
 }
 
+bool forwarder::may_get_first_packet(server_entry const& server,
+                                     instant now,
+                                     cold_limit_use limits) const
+{
+    return accepts_new_flows(server.record) && server.token != route_token{} &&
+           !directory_.is_evacuated(server.record.data_centre) &&
+           (limits == cold_limit_use::ignored || has_budget_for(server, now));
+}
+
+bool forwarder::forward_first_packet(server_entry const& server,
+                                     byte_view bytes,
+                                     route_token token,
+                                     instant now,
+                                     forwarder_effects& out)
+{
+    if (!may_get_first_packet(server, now))
+    {
+        return false;
+    }
+    count_first_packet(server, now);
+    forward_to(server, bytes, token, out);
+    return true;
+}
+
 std::optional<server_id> forwarder::choose_server(service const& target_service,
                                                   placed_flow const& flow,
                                                   instant now,
@@ -173,11 +197,8 @@
         is_majority_suspected(target_service, now);
     auto const can_take_flow = [&](server_id server)
     {
-        auto const& candidate = *directory_.find_server(server);
-        return candidate.token != route_token{} &&
-               !directory_.is_evacuated(candidate.record.data_centre) &&
-               (limits == cold_limit_use::ignored ||
-                may_send_first_packet(candidate, now));
+        return may_get_first_packet(
+            *directory_.find_server(server), now, limits);
     };
     auto const is_unattempted = [&](server_id server)
     {
--- a/dotterelrouter/forwarder/shared_tokens.cpp
+++ b/dotterelrouter/forwarder/shared_tokens.cpp
@@ -3,6 +3,7 @@
 // Load: none, but while two known servers share a token. Then each of their
 // open flows is bound once, and each that moves is asked for.
 #include "dotterelrouter/forwarder/forwarder.hpp"
+#include "dotterelrouter/forwarder/internal/opening.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -11,6 +12,7 @@
 namespace dotterelrouter
 {
 
+using internal::earliest_opening;
 using internal::placed_flow;
 
 void forwarder::on_ambiguous_packet(caller_packet const& packet,
@@ -102,14 +104,17 @@
     {
         return;
     }
-    auto const is_new =
-        bindings_.bind({.flow = flow.key,
-                        .sequence = flow.last_sequence,
-                        .acknowledgement = flow.last_acknowledgement,
-                        .server = server->record.name,
-                        .age = duration{now.steady - flow.first_seen}},
-                       now,
-                       out);
+    auto const last_first_packet_at =
+        std::max(flow.first_seen, flow.arrived_after);
+    auto const is_new = bindings_.bind(
+        {.flow = flow.key,
+         .sequence = flow.last_sequence,
+         .acknowledgement = flow.last_acknowledgement,
+         .server = server->record.name,
+         .age = duration{now.steady - last_first_packet_at},
+         .age_limit = duration{now.steady - earliest_opening(flow)}},
+        now,
+        out);
     if (is_new)
     {
         log_bound_flow(flow.key, {}, *server, reason, now, out);
--- a/dotterelrouter/forwarder/slow_start.cpp
+++ b/dotterelrouter/forwarder/slow_start.cpp
@@ -38,8 +38,7 @@
                        .rate = *declared->cold_rate};
 }
 
-bool forwarder::may_send_first_packet(server_entry const& server,
-                                      instant now) const
+bool forwarder::has_budget_for(server_entry const& server, instant now) const
 {
     auto const limited = limited_server(server, now);
     return !limited || cold_budget_->may_send(*limited, now);
@@ -53,24 +52,13 @@
     }
 }
 
-bool forwarder::drop_or_count_copy(server_entry const& server, instant now)
-{
-    // The caller has acknowledged the handshake, so it needs no other one.
-    if (!may_send_first_packet(server, now))
-    {
-        return true;
-    }
-    count_first_packet(server, now);
-    return false;
-}
-
 bool forwarder::is_kept_from_cold(service const& target_service,
                                   placed_flow const& flow,
                                   instant now) const
 {
     auto const is_at_limit = [&](server_id server)
     {
-        return !may_send_first_packet(*directory_.find_server(server), now);
+        return !has_budget_for(*directory_.find_server(server), now);
     };
     if (!cold_budget_ || std::ranges::none_of(target_service.all_servers(),
                                               is_at_limit,
--- a/testing/forwarding/openings_neighbours_test.cpp
+++ b/testing/forwarding/openings_neighbours_test.cpp
@@ -2,6 +2,8 @@
 // port used again, a server that left the directory, cuts, and data centres.
 #include "testing/forwarding/forwarder_group.hpp"
 
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 namespace dotterelrouter::testing
@@ -233,5 +235,81 @@
     CHECK_EQUAL(second.server_number, forwarded->server_number);
 }
 
+/// review/10: a client uses a port again, with an initial number that has
+/// counted up meanwhile, while the server of its last flow there drains or has
+/// gone. Its first packet went to that server, as a binding of that flow was
+/// held.
+TEST(opening_neighbours, first_packet_goes_to_no_server_that_takes_no_flows)
+{
+    for (auto const state : {server_state::draining, server_state::gone})
+    {
+        for (auto const elapsed : {0s, 3s, 8s, 40s})
+        {
+            forwarder_group group{{"a", "a", "a", "b", "b"}, 4};
+            auto const [first, second] = open_at_second_server(group, 0, 1);
+            auto const number =
+                static_cast<std::uint32_t>(second.server_number);
+            std::vector<server_record> servers;
+            for (std::uint32_t other = 1; other <= 4; ++other)
+            {
+                if (other != number || state == server_state::draining)
+                {
+                    servers.push_back(make_server_record(
+                        other,
+                        0,
+                        other == number ? state : server_state::ready));
+                }
+            }
+            auto draining = servers;
+            if (state == server_state::gone)
+            {
+                draining.push_back(
+                    make_server_record(number, 0, server_state::draining));
+            }
+            group.set_servers(draining);
+            group.set_servers(servers);
+            group.advance(elapsed + 10ms);
+            for (std::size_t index = 0; index < group.size(); ++index)
+            {
+                constexpr std::uint32_t numbers_per_s = 250000;
+                auto again = forwarder_group::first_packet(1);
+                again.packet.sequence +=
+                    numbers_per_s * static_cast<std::uint32_t>(elapsed / 1s);
+                for (std::uint32_t copies = 0; copies < 2; ++copies)
+                {
+                    again.packet.acknowledgement = copies;
+                    auto const sent = group.send(index, again);
+                    CHECK(!sent || sent->server_number != number);
+                    CHECK(elapsed == 0s || sent.has_value());
+                }
+            }
+        }
+    }
+}
+
+/// The same port, and the server of the earlier flow takes new ones: the later
+/// flow is placed like any other, and its packets follow it.
+TEST(opening_neighbours, flow_of_a_port_used_again_is_not_bound_by_the_earlier)
+{
+    forwarder_group group{{"a", "a", "a"}, 4};
+    for (std::uint16_t port = 1; port <= 20; ++port)
+    {
+        open_at_second_server(group, 0, port);
+    }
+    group.advance(caller_pause);
+    for (std::uint16_t port = 1; port <= 20; ++port)
+    {
+        auto again = forwarder_group::first_packet(port);
+        again.packet.sequence += 750000;
+        auto const placed = *group.send(0, again);
+        auto acknowledged =
+            forwarder_group::acknowledgement(port, placed.token);
+        acknowledged.packet.sequence += 750000;
+        auto const opened = group.send(0, acknowledged);
+        CHECK(opened.has_value());
+        CHECK_EQUAL(placed.server_number, opened->server_number);
+    }
+}
+
 } // namespace
 } // namespace dotterelrouter::testing
