Count a denial only if no data centre is silent

Cause: a forwarder that would have been told of a binding denied one, but a message about it can't have reached it: that the data centre is live was known as of its last heartbeat.

Change: a response tells a denial apart from a confirmed binding. For a flow that the asker did not place, denials count once each other data centre with a live forwarder has responded in the same look-up and the same view of the fleet. A flow that was placed here can't have opened elsewhere, so that new flows don't pay.

--- a/dotterelrouter/bindings/binding_messages.cpp
+++ b/dotterelrouter/bindings/binding_messages.cpp
@@ -126,18 +126,18 @@
         limit_age(bound, opened_after);
         auto const is_confirmed =
             !received.is_proposal && bound.binding.server == received.server;
-        bound.is_settled |= is_confirmed || is_known(bound, now);
-        return to_message(bound, now);
+        bound.is_settled |= is_confirmed;
+        return to_response(bound, now);
     }
     auto& bound = insert(received, bound_at, now, out);
     limit_age(bound, opened_after);
     // The sender informs the other keepers. This forwarder does so only once
     // there are others than now.
     bound.informed = keeper_runs(received.flow);
-    bound.is_settled = !received.is_proposal || is_known(bound, now);
-    bound.is_foreign_proposal = !bound.is_settled;
+    bound.is_settled = !received.is_proposal;
+    bound.is_foreign_proposal = received.is_proposal;
     mark_informed(bound, from);
-    return to_message(bound, now);
+    return to_response(bound, now);
 }
 
 bool binding_table::on_answer(flow_binding const& answer,
@@ -193,6 +193,8 @@
                       return keeper.address == from;
                   });
     std::erase(bound.unanswered, from);
+    bound.is_denied |= held.is_denial;
+    bound.is_settled |= is_denial_complete(bound);
     if (bound.unconfirmed.empty())
     {
         bound.is_settled |= is_known(bound, now);
--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -107,6 +107,42 @@
     return binding;
 }
 
+flow_binding binding_table::to_response(entry const& bound, instant now) const
+{
+    auto response = to_message(bound, now);
+    response.is_denial =
+        response.is_proposal &&
+        authority_.may_deny(bound.binding.flow, now, bound.opened_after);
+    return response;
+}
+
+bool binding_table::is_denial_complete(entry const& bound) const
+{
+    if (!bound.is_denied || bound.opened_after)
+    {
+        return bound.is_denied;
+    }
+    auto const has_responded = [&](data_centre_id data_centre)
+    {
+        return std::ranges::any_of(
+            bound.informed,
+            [&](peer_run const& run)
+            {
+                auto const* const forwarder = find_forwarder(run.address);
+                return forwarder != nullptr &&
+                       forwarder->data_centre == data_centre;
+            });
+    };
+    return bound.view == authority_.view() &&
+           std::ranges::all_of(authority_.forwarders(),
+                               [&](live_forwarder const& other)
+                               {
+                                   return other.data_centre ==
+                                              settings_.data_centre ||
+                                          has_responded(other.data_centre);
+                               });
+}
+
 std::optional<std::string_view>
 binding_table::find(caller_packet const& packet) const
 {
@@ -227,6 +263,8 @@
     bound.asked_placers = false;
     bound.unanswered.clear();
     bound.informed.clear();
+    bound.is_denied = is_known(bound, now);
+    bound.view = authority_.view();
     send_now(bound, now, out);
     bound.is_own_word |= bound.unconfirmed.empty() && is_known(bound, now);
 }
@@ -272,8 +310,8 @@
 
 void binding_table::ask_placers(entry& bound, instant now, outgoing& messages)
 {
-    if (bound.asked_placers || bound.is_foreign_proposal ||
-        is_known(bound, now))
+    if (bound.asked_placers || bound.is_foreign_proposal || bound.is_settled ||
+        bound.is_own_word)
     {
         return;
     }
--- a/dotterelrouter/bindings/flow_authority.cpp
+++ b/dotterelrouter/bindings/flow_authority.cpp
@@ -59,6 +59,7 @@
     {
         rejoined_at_ = now.steady;
     }
+    ++view_;
     live_ = std::move(live);
     former_ = std::move(former);
 }
--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -232,6 +232,11 @@
         /// have not responded. Not used before all keepers or a delay passed.
         std::vector<endpoint> unanswered;
         bool asked_placers = false; ///< In this look-up.
+        /// A forwarder that would have been told of another binding was not;
+        /// this one counts.
+        bool is_denied = false;
+        /// flow_authority::view() of this look-up.
+        std::uint64_t view = 0;
         /// When its keepers are checked next; empty if they all responded.
         std::optional<steady_time> check_at;
         duration resend_delay{};
@@ -263,6 +268,9 @@
 
     /// Returns a binding as it is sent.
     static flow_binding to_message(entry const& bound, instant now);
+    /// Returns a binding as the response to another forwarder's proposal.
+    [[nodiscard]] flow_binding to_response(entry const& bound,
+                                           instant now) const;
     void send_now(entry& bound, instant now, forwarder_effects& out);
     entry& insert(flow_binding const& binding,
                   steady_time bound_at,
@@ -286,6 +294,10 @@
     /// Whether no other forwarder has to be asked: the binding is confirmed, or
     /// this forwarder may speak for the flow.
     [[nodiscard]] bool is_known(entry const& bound, instant now) const;
+    /// Whether the responses of this look-up show that no other server has the
+    /// flow. An unknown flow may have opened in a data centre that was cut off
+    /// a moment ago, which shows only by its silence.
+    [[nodiscard]] bool is_denial_complete(entry const& bound) const;
     /// Sends a binding to its keepers, as the beginning of a look-up.
     void look_up(entry& bound, instant now, forwarder_effects& out);
     /// Sends a proposal to the forwarders that may have placed its flow, once
--- a/dotterelrouter/bindings/internal/flow_authority.hpp
+++ b/dotterelrouter/bindings/internal/flow_authority.hpp
@@ -22,6 +22,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <vector>
@@ -75,6 +76,12 @@
         is_isolated_ = is_isolated;
     }
 
+    /// Changes whenever other forwarders come or go.
+    [[nodiscard]] std::uint64_t view() const
+    {
+        return view_;
+    }
+
     /// The other forwarders that are live.
     [[nodiscard]] std::span<live_forwarder const> forwarders() const
     {
@@ -117,6 +124,7 @@
     flow_authority_settings settings_;
     std::vector<live_forwarder> live_{};
     std::vector<former_forwarder> former_{};
+    std::uint64_t view_ = 0;
     std::optional<steady_time> started_at_{};
     bool is_first_start_ = false;
     bool is_isolated_ = false;
--- a/dotterelrouter/codec/replication_codec.cpp
+++ b/dotterelrouter/codec/replication_codec.cpp
@@ -341,6 +341,7 @@
     out.set_server(value.server);
     out.set_proposal(value.is_proposal);
     out.set_age_us(age_to_wire(value.age) - 1);
+    out.set_denial(value.is_denial);
     out.set_age_limit_us(age_to_wire(value.age_limit));
 }
 
@@ -352,6 +353,7 @@
     out.acknowledgement = in.acknowledgement();
     out.server = in.server();
     out.is_proposal = in.proposal();
+    out.is_denial = in.denial();
     out.age_limit = age_from_wire(in.age_limit_us());
     out.age = microseconds{std::min(in.age_us(), max_duration_us)};
     return narrow(in.caller_port(), out.flow.caller.port) &&
--- a/dotterelrouter/codec/replication_codec_test.cpp
+++ b/dotterelrouter/codec/replication_codec_test.cpp
@@ -68,6 +68,7 @@
                          .server = "i-3d0f4bf384",
                          .age = 1500us,
                          .is_proposal = true,
+                         .is_denial = true,
                          .age_limit = 330ms},
                         {.flow = testing::make_flow_key(7), .age_limit = 0us},
                         {.flow = testing::make_flow_key(8)}};
@@ -122,6 +123,7 @@
          .server = "i-0123456789abcd",
          .age = 24h,
          .is_proposal = true,
+         .is_denial = true,
          .age_limit = 24h});
     CHECK(encode_bindings(message).size() <= 1400);
 }
--- a/dotterelrouter/forwarding/internal/messages.hpp
+++ b/dotterelrouter/forwarding/internal/messages.hpp
@@ -102,6 +102,8 @@
     /// The sender knows it from a token only, and no other forwarder has
     /// confirmed it to the sender yet.
     bool is_proposal = false;
+    /// In a response: the sender would have been told of another binding.
+    bool is_denial = false;
     /// The flow can't have opened longer ago. Empty: only its lifetime limits
     /// that.
     std::optional<duration> age_limit{};
