Choose keepers without a map, and go on with flows that were followed alone

Cause: keepers are chosen for up to 6,400 bindings a second when forwarders come or go, and a map by data centre allocates for each. A flow that a lone forwarder had followed by its own word was held again when another one came that did not respond, though its server was known.

Change: one candidate for each other data centre, found by a linear search among the few there are; a flow followed by the own word goes on.

--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -409,7 +409,7 @@
         return false;
     }
     auto const& bound = found->second;
-    return !bound.is_settled &&
+    return !bound.is_settled && !bound.is_own_word &&
            (!bound.unconfirmed.empty() || !is_known(bound, now));
 }
 
--- a/dotterelrouter/bindings/binding_table_test.cpp
+++ b/dotterelrouter/bindings/binding_table_test.cpp
@@ -141,6 +141,23 @@
     CHECK(bindings.is_settled(make_packet(1)));
 }
 
+/// It was alone and sent packets of the flow on by its own word. Another
+/// forwarder that comes and does not respond doesn't hold them up.
+TEST(binding_table, flow_that_was_followed_alone_goes_on_when_others_come)
+{
+    bindings.on_started(true, now);
+    bindings.bind(make_packet(1), first_server, binding_basis::token, now, out);
+    CHECK(!bindings.is_unconfirmed(make_flow_key(1), now));
+    bindings.set_forwarders({make_forwarder(1)}, {}, now);
+    advance(min_lookup_interval);
+    bindings.confirm(make_packet(1), now, out);
+    CHECK(!effects_of_type<send_bindings>(out)
+               .front()
+               .message.bindings.front()
+               .is_proposal);
+    CHECK(!bindings.is_unconfirmed(make_flow_key(1), now));
+}
+
 /// A keeper confirms a proposal only if it would have been told of a binding.
 TEST(binding_table, keeper_confirms_proposals_if_it_would_know_the_flow)
 {
--- a/dotterelrouter/bindings/internal/keepers.hpp
+++ b/dotterelrouter/bindings/internal/keepers.hpp
@@ -15,7 +15,7 @@
 /// Number of keepers of a binding in the data centre of the forwarder that
 /// shares it. Three, so that one may restart while another one is cut off.
 inline constexpr std::size_t own_keeper_count = 3;
-/// Number of keepers in each other data centre.
+/// Number of keepers in each other data centre: the one of the highest rank.
 inline constexpr std::size_t remote_keeper_count = 1;
 
 /// Rank of a forwarder as a keeper of a flow: pseudo-random, and the same at
--- a/dotterelrouter/bindings/keepers.cpp
+++ b/dotterelrouter/bindings/keepers.cpp
@@ -1,7 +1,6 @@
 #include "dotterelrouter/bindings/internal/keepers.hpp"
 
 #include <algorithm>
-#include <map>
 
 namespace dotterelrouter
 {
@@ -45,22 +44,39 @@
            std::span<live_forwarder const> candidates,
            data_centre_id own_data_centre)
 {
-    std::map<data_centre_id, std::vector<ranked_keeper>> chosen;
+    std::vector<ranked_keeper> own;
+    std::vector<ranked_keeper> remote; // One for each data centre.
     for (auto const& candidate : candidates)
     {
-        auto const is_own = candidate.data_centre == own_data_centre;
-        add_if_highest(
-            chosen[candidate.data_centre],
-            {keeper_rank(flow, candidate.heartbeat_endpoint), candidate},
-            is_own ? own_keeper_count : remote_keeper_count);
+        ranked_keeper const next{
+            keeper_rank(flow, candidate.heartbeat_endpoint), candidate};
+        if (candidate.data_centre == own_data_centre)
+        {
+            add_if_highest(own, next, own_keeper_count);
+            continue;
+        }
+        auto const known =
+            std::ranges::find(remote,
+                              candidate.data_centre,
+                              [](ranked_keeper const& keeper)
+                              {
+                                  return keeper.forwarder.data_centre;
+                              });
+        if (known == remote.end())
+        {
+            remote.push_back(next);
+        }
+        else if (known->rank < next.rank)
+        {
+            *known = next;
+        }
     }
+    own.insert(own.end(), remote.begin(), remote.end());
     std::vector<live_forwarder> keepers;
-    for (auto const& [data_centre, ranked] : chosen)
+    keepers.reserve(own.size());
+    for (auto const& keeper : own)
     {
-        for (auto const& keeper : ranked)
-        {
-            keepers.push_back(keeper.forwarder);
-        }
+        keepers.push_back(keeper.forwarder);
     }
     return keepers;
 }
--- a/testing/forwarding/flow_knowledge_test.cpp
+++ b/testing/forwarding/flow_knowledge_test.cpp
@@ -78,9 +78,9 @@
 TEST(flow_knowledge, flows_of_a_data_centre_that_was_cut_off_are_unknown)
 {
     forwarder_group group{{"b", "b", "b", "a", "a", "c", "c"}, 6};
-    for (std::size_t const inside : {3, 4})
+    for (auto const inside : {3U, 4U})
     {
-        for (std::size_t const outside : {0, 1, 2, 5, 6})
+        for (auto const outside : {0U, 1U, 2U, 5U, 6U})
         {
             group.cut(inside, outside);
         }
@@ -210,7 +210,7 @@
         forwarder_group group{{"a", "a", "a", "b", "b", "c", "c"}, 6};
         auto const flows = open_flows(group, indexes_below(7), flow_count);
         group.set_seeds({0, 3, 5});
-        for (std::size_t const leaving : {0, 3, 5})
+        for (auto const leaving : {0U, 3U, 5U})
         {
             is_killed ? group.kill(leaving) : group.stop(leaving);
             group.advance(1s);
@@ -253,7 +253,7 @@
     group.kill(3);
     group.advance(1s);
     group.start(0);
-    for (std::size_t const other : {1, 2, 4, 5, 6})
+    for (auto const other : {1U, 2U, 4U, 5U, 6U})
     {
         group.cut(0, other);
         group.cut(3, other);
