--- a/review/standins-3/added_machine.cpp
+++ b/review/standins-3/added_machine.cpp
@@ -18,8 +18,8 @@
         site.loop, site.record, "i-a000000001", 0xa000000001U, site.at(221));
     server second(
         site.loop, site.record, "i-a000000002", 0xa000000002U, site.at(222));
-    client caller(site.loop, site.record, site.at(231));
-    platform.put("op/config", route_table());
+    client caller(site.loop, site.record, site.at(231), site.at(251));
+    platform.put("op/config", route_table(site.at(251)));
     platform.put("servers/" + first.name(), entry_of(first.ip()));
     platform.put("servers/" + second.name(), entry_of(second.ip()));
     std::vector<std::string> const others{site.at(2), site.at(3)};
--- a/review/standins-3/cut_within_zone.cpp
+++ b/review/standins-3/cut_within_zone.cpp
@@ -52,9 +52,9 @@
     store platform(loop, at(241));
     server first(loop, record, "i-a000000001", 0xa000000001U, at(221));
     server second(loop, record, "i-a000000002", 0xa000000002U, at(222));
-    client caller(loop, record, at(231));
+    client caller(loop, record, at(231), at(251));
     forwarder_link link(loop, at(1), at(211), at(2), at(212));
-    platform.put("op/config", route_table());
+    platform.put("op/config", route_table(at(251)));
     platform.put("servers/" + first.name(), entry_of(first.ip()));
     platform.put("servers/" + second.name(), entry_of(second.ip()));
     if (!wait_until_ready(loop, {forwarders[0], forwarders[1]}))
--- a/review/standins-3/foreign_entry.cpp
+++ b/review/standins-3/foreign_entry.cpp
@@ -23,9 +23,9 @@
     store platform(loop, at(241));
     server catalogue(loop, record, "i-a000000001", 0xa000000001U, at(221));
     server gallery(loop, record, "i-b000000001", 0xb000000001U, at(222));
-    client caller(loop, record, at(231));
+    client caller(loop, record, at(231), at(251));
     auto const gallery_key = "servers/" + gallery.name();
-    platform.put("op/config", route_table());
+    platform.put("op/config", route_table(at(251)));
     platform.put("servers/" + catalogue.name(),
                  entry_of(catalogue.ip(), "catalogue", true));
     platform.put(gallery_key, entry_of(gallery.ip(), "gallery", true));
--- a/review/standins-3/long_transfer.cpp
+++ b/review/standins-3/long_transfer.cpp
@@ -46,7 +46,6 @@
               client::flow& flow,
               std::string const& forwarder)
 {
-    caller.record_requests(false);
     for (int number = 1; number <= request_count; ++number)
     {
         if (!caller.request(forwarder, flow, std::to_string(number)))
@@ -56,7 +55,6 @@
         }
         loop.run_for(round_trip);
     }
-    caller.record_requests(true);
     return true;
 }
 
@@ -71,15 +69,14 @@
     store platform(loop, at(241));
     server first(loop, record, "i-a000000001", 0xa000000001U, at(221));
     server second(loop, record, "i-a000000002", 0xa000000002U, at(222));
-    client caller(loop, record, at(231));
+    client caller(loop, record, at(231), at(251));
     std::array<server*, 2> const servers{&first, &second};
     for (auto* const one : servers)
     {
         one->set_answer_size(answer_size);
-        one->record_runs(false);
     }
     caller.set_answer_size(answer_size);
-    platform.put("op/config", route_table());
+    platform.put("op/config", route_table(at(251)));
     platform.put("servers/" + first.name(), entry_of(first.ip()));
     platform.put("servers/" + second.name(), entry_of(second.ip()));
     if (!wait_until_ready(loop, {at(1), at(2)}))
--- a/review/standins-3/site.hpp
+++ b/review/standins-3/site.hpp
@@ -274,12 +274,6 @@
                                    });
     }
 
-    /// Stops or starts to record the requests that are run.
-    void record_runs(bool is_recorded)
-    {
-        is_recorded_ = is_recorded;
-    }
-
     /// Number of requests that were run.
     [[nodiscard]] int runs() const
     {
@@ -404,12 +398,9 @@
         ++run_count_;
         constexpr std::string_view id_header = "X-Request-Id: ";
         auto const start = packet.data.find(id_header) + id_header.size();
-        if (is_recorded_)
-        {
-            record_.line(name_ + " runs request " +
-                         packet.data.substr(
-                             start, packet.data.find('\r', start) - start));
-        }
+        record_.line(
+            name_ + " runs request " +
+            packet.data.substr(start, packet.data.find('\r', start) - start));
         constexpr std::string_view head = "HTTP/1.1 200 OK\r\n"
                                           "Content-Length: 14000\r\n\r\n";
         known.last_answer = head;
@@ -477,7 +468,6 @@
     milliseconds handshake_delay_{0};
     int run_count_ = 0;
     std::size_t answer_size_ = 100;
-    bool is_recorded_ = true;
 };
 
 /// A client with flows that it keeps open for several requests.
@@ -498,8 +488,14 @@
         std::string reset_by{};  ///< Address of the sender of a reset.
     };
 
-    client(event_loop& loop, recorder& record, std::string const& ip)
+    /// `service_ip` is the address of the platform that the client opens flows
+    /// to; nothing is sent there but through forwarders.
+    client(event_loop& loop,
+           recorder& record,
+           std::string const& ip,
+           std::string service_ip)
         : loop_(loop), record_(record), ip_(ip),
+          service_ip_(std::move(service_ip)),
           socket_(loop,
                   ip,
                   packet_port,
@@ -522,12 +518,6 @@
         answer_size_ = size;
     }
 
-    /// Stops or starts to record requests and answers.
-    void record_requests(bool is_recorded)
-    {
-        is_recorded_ = is_recorded;
-    }
-
     /// Sends the first packet of a new flow through a forwarder.
     flow& begin(std::string const& forwarder)
     {
@@ -579,9 +569,9 @@
                       std::string const& id)
     {
         open_flow.forwarder = forwarder;
-        write("client sends request " + id + " on flow " +
-              std::to_string(open_flow.port) + " to the forwarder " +
-              forwarder);
+        record_.line("client sends request " + id + " on flow " +
+                     std::to_string(open_flow.port) + " to the forwarder " +
+                     forwarder);
         send(forwarder,
              open_flow,
              ack_flag,
@@ -598,15 +588,15 @@
     {
         if (open_flow.answers == earlier_answers)
         {
-            write("request " + id + ": " +
-                  (open_flow.reset_by.empty()
-                       ? std::string{"no answer"}
-                       : "reset by " + open_flow.reset_by));
+            record_.line("request " + id + ": " +
+                         (open_flow.reset_by.empty()
+                              ? std::string{"no answer"}
+                              : "reset by " + open_flow.reset_by));
             return false;
         }
         open_flow.sequence += static_cast<std::uint32_t>(text_of(id).size());
         acknowledge(forwarder, open_flow);
-        write("request " + id + ": answered");
+        record_.line("request " + id + ": answered");
         return true;
     }
 
@@ -630,14 +620,6 @@
     }
 
 private:
-    void write(std::string const& text)
-    {
-        if (is_recorded_)
-        {
-            record_.line(text);
-        }
-    }
-
     static std::string text_of(std::string const& id)
     {
         return "GET /lookup HTTP/1.1\r\nHost: site\r\nX-Request-Id: " + id +
@@ -666,7 +648,7 @@
                                  .dport = 8080,
                                  .sport = sender.port,
                                  .src = ip_number(ip_),
-                                 .dst = ip_number("198.18.0.1"),
+                                 .dst = ip_number(service_ip_),
                                  .seq = sequence,
                                  .ack = acknowledgement,
                                  .data = data};
@@ -715,11 +697,11 @@
     event_loop& loop_;
     recorder& record_;
     std::string ip_;
+    std::string service_ip_;
     udp_socket socket_;
     std::map<std::uint16_t, flow> flows_;
     std::uint16_t next_port_ = 40001;
     std::size_t answer_size_ = 100;
-    bool is_recorded_ = true;
 };
 
 /// Passes on the TCP connections that one forwarder opens to another one, until
@@ -856,10 +838,10 @@
 };
 
 /// A configuration with one route, to the service `catalogue`.
-inline std::string route_table()
+inline std::string route_table(std::string const& service_ip)
 {
-    return R"({"Version":3,"Routes":[{"Host":"198.18.0.1","Prefix":"/8080/",)"
-           R"("Service":"catalogue","Kind":"safe","TimeoutMs":2000,)"
+    return R"({"Version":3,"Routes":[{"Host":")" + service_ip +
+           R"(","Prefix":"/8080/","Service":"catalogue","Kind":"safe","TimeoutMs":2000,)"
            R"("TargetLatencyMs":300,"Priority":1}],"Services":[{"Name":)"
            R"("catalogue","HealthCheckPath":"/health"}],)"
            R"("Limits":{"IdleTimeoutMs":30000}})";
