Ask who can be heard before a shared token means its older server

A flow at the newer of two servers with one token went to the older one, when it moved away from the forwarder that had bound it while that one was cut off: all keepers responded that they don't know the flow, and that counted for the one that nobody heard as well.

Change: responses to a question name the runs that their sender can't hear; nobody knows the flow only if no run is left that neither the asker nor any of them hears.

Test: flows_of_a_forwarder_that_is_cut_off_go_nowhere_wrong.

--- a/dotterelrouter/bindings/binding_messages.cpp
+++ b/dotterelrouter/bindings/binding_messages.cpp
@@ -10,6 +10,7 @@
 {
 
 using internal::is_same_flow;
+using internal::keep_common;
 using internal::send_all;
 
 namespace
@@ -107,9 +108,13 @@
                                       instant now) const
 {
     auto const found = entries_.find(asked.flow);
-    return found != entries_.end() && is_same_flow(found->second.binding, asked)
-               ? to_message(found->second, now)
-               : asked;
+    if (found != entries_.end() && is_same_flow(found->second.binding, asked))
+    {
+        return to_message(found->second, now);
+    }
+    auto answer = asked;
+    answer.is_denial = set_unheard_runs(answer, now);
+    return answer;
 }
 
 flow_binding binding_table::merge(flow_binding const& received,
@@ -166,6 +171,10 @@
     {
         std::erase(found->second.unanswered, from);
         std::erase(found->second.unanswered_keepers, from);
+        if (answer.is_denial)
+        {
+            keep_common(found->second.unheard, answer.unheard);
+        }
         return false;
     }
     auto& bound = insert(answer, now.steady - answer.age, now, out);
--- a/dotterelrouter/bindings/binding_table.cpp
+++ b/dotterelrouter/bindings/binding_table.cpp
@@ -346,7 +346,8 @@
     asked = {.asked = {.flow = packet.flow,
                        .sequence = packet.sequence,
                        .acknowledgement = packet.acknowledgement},
-             .asked_at = now.steady};
+             .asked_at = now.steady,
+             .unheard = authority_.unheard_runs(now)};
     for (auto const& keeper : keeper_runs(packet.flow))
     {
         asked.unanswered_keepers.push_back(keeper.address);
@@ -387,7 +388,8 @@
     {
         return std::nullopt;
     }
-    auto const is_answered = found->second.unanswered_keepers.empty();
+    auto const is_answered = found->second.unanswered_keepers.empty() &&
+                             found->second.unheard.empty();
     questions_.erase(found);
     return is_answered;
 }
--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -166,7 +166,8 @@
     void ask(caller_packet const& packet, instant now, forwarder_effects& out);
 
     /// Ends the question about this flow, if there is one, and returns whether
-    /// all keepers have responded that they don't know the flow.
+    /// all keepers have responded that they don't know the flow, and no
+    /// forwarder may know it that none of those asked can hear.
     std::optional<bool> end_question(flow_key flow);
 
     /// True while a keeper has not responded to the binding of this flow, or
@@ -219,6 +220,8 @@
         std::vector<endpoint> unanswered{};
         /// Those of them that are keepers of the flow.
         std::vector<endpoint> unanswered_keepers{};
+        /// Runs that neither this forwarder nor any that responded can hear.
+        std::vector<run_id> unheard{};
     };
 
     /// One run of another forwarder.
--- a/testing/forwarding/shared_tokens_test.cpp
+++ b/testing/forwarding/shared_tokens_test.cpp
@@ -331,6 +331,27 @@
     }
 }
 
+/// The same while it is cut off. The others don't know its flows, and none of
+/// them may say that nobody does (the rule of review/12).
+TEST(shared_tokens, flows_of_a_forwarder_that_is_cut_off_go_nowhere_wrong)
+{
+    for (int i = 0; i < pair_count; ++i)
+    {
+        auto const servers = next_pair();
+        forwarder_group group{{"a", "a", "a"}, {servers.newer}};
+        group.write_store({servers.older, servers.newer});
+        group.read_store(1);
+        group.cut(0, 1);
+        group.cut(0, 2);
+        group.advance(4500ms);
+        auto const flows = open_flows(group, 0);
+        check_none_reaches_another(group, flows);
+        group.heal();
+        group.advance(2500ms);
+        check_all_reach_their_servers(group, flows);
+    }
+}
+
 /// Forwarders learn of the servers in different orders, and each opens flows in
 /// between.
 TEST(shared_tokens, order_in_which_forwarders_learn_does_not_matter)
