Take a sole attempt for certain while nobody can be asked

A forwarder that was idle for 100 ms can't tell whether a first packet waited in its socket, and looks such a flow up.

Change: if the first packet went to one server, no copy was seen and nobody can be asked, its token is settled.

Test: flows_with_one_server_of_one_that_is_cut_off_go_on.

--- a/dotterelrouter/bindings/internal/binding_table.hpp
+++ b/dotterelrouter/bindings/internal/binding_table.hpp
@@ -170,6 +170,13 @@
     /// forwarder may know it that none of those asked can hear.
     std::optional<bool> end_question(flow_key flow);
 
+    /// Whether no other forwarder can be asked for a flow.
+    [[nodiscard]] bool has_nobody_to_ask() const
+    {
+        return authority_.forwarders().empty() &&
+               authority_.possible_placers().empty();
+    }
+
     /// True while a keeper has not responded to the binding of this flow, or
     /// another forwarder to a proposal or question about it.
     [[nodiscard]] bool is_awaiting_keepers(flow_key flow) const;
--- a/dotterelrouter/forwarder/internal/opening.hpp
+++ b/dotterelrouter/forwarder/internal/opening.hpp
@@ -54,6 +54,14 @@
     contested,
 };
 
+/// Whether a server is the only one to which the first packet of a flow was
+/// sent here, and no copy of that was seen.
+[[nodiscard]] inline bool is_sole_attempt(placed_flow const& flow,
+                                          server_id server)
+{
+    return flow.attempts == 1 && !flow.has_copies && flow.has_attempted(server);
+}
+
 /// Returns the evidence of a packet with the opening token of a server, the
 /// first one of the flow here after its first packet.
 [[nodiscard]] inline opening_evidence evidence_of(placed_flow const& flow,
@@ -69,9 +77,8 @@
     {
         return opening_evidence::contested;
     }
-    return flow.attempts == 1 && !flow.has_copies
-               ? opening_evidence::sole_server
-               : opening_evidence::one_of_several;
+    return is_sole_attempt(flow, server) ? opening_evidence::sole_server
+                                         : opening_evidence::one_of_several;
 }
 
 } // namespace dotterelrouter::internal
--- a/dotterelrouter/forwarder/openings.cpp
+++ b/dotterelrouter/forwarder/openings.cpp
@@ -12,6 +12,7 @@
 
 using internal::earliest_opening;
 using internal::evidence_of;
+using internal::is_sole_attempt;
 using internal::later_token_of;
 using internal::opening_evidence;
 using internal::placed_flow;
@@ -172,6 +173,10 @@
                   earliest_opening(flow));
         return false;
     case opening_evidence::contested:
+        if (is_sole_attempt(flow, server.id) && bindings_.has_nobody_to_ask())
+        {
+            return false; // Its token is as certain as it can be.
+        }
         break;
     }
     bind_flow(packet,
--- a/testing/forwarding/unheard_forwarders_test.cpp
+++ b/testing/forwarding/unheard_forwarders_test.cpp
@@ -118,6 +118,32 @@
     }
 }
 
+/// A flow with one server whose first packet may have waited, as the forwarder
+/// was idle before. Nobody could be asked, so that it kept an opening token
+/// until the cut ended, and went nowhere when it moved.
+TEST(unheard_forwarders, flows_with_one_server_of_one_that_is_cut_off_go_on)
+{
+    for (auto const& fleet : fleets)
+    {
+        forwarder_group group{fleet, 6};
+        cut_from_all(group, 0);
+        group.advance(4500ms);
+        for (std::uint16_t port = 1; port <= flow_count; ++port)
+        {
+            group.advance(600ms);
+            auto const placed =
+                *group.send(0, forwarder_group::first_packet(port));
+            auto const opened = *group.send(
+                0, forwarder_group::acknowledgement(port, placed.token));
+            CHECK_EQUAL(placed.server_number, opened.server_number);
+            auto const moved =
+                group.send(1, forwarder_group::request(port, opened.token));
+            CHECK(moved.has_value());
+            CHECK_EQUAL(placed.server_number, moved->server_number);
+        }
+    }
+}
+
 /// A third forwarder hears both, and was told.
 TEST(unheard_forwarders, flows_go_on_if_another_forwarder_hears_both)
 {
